Serve requests end to end through gateways, placers and granted servers

A caller's request enters any gateway, its key is mapped to the one server that owns it by an assignment that the domain's active placer committed to the platform's table, the gateway that drives that server sends it under a fenced grant, and the whole answer comes back.

--- /dev/null
+++ b/src/core/events.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/log_event.h"
+
+/// The numbered log events; docs/EVENTS.md explains each.
+namespace currantbeam::events {
+
+constexpr LogEvent kProcessStarted{100, LogLevel::kInfo, "process-started"};
+constexpr LogEvent kProcessDraining{101, LogLevel::kInfo, "process-draining"};
+constexpr LogEvent kProcessStopped{102, LogLevel::kInfo, "process-stopped"};
+constexpr LogEvent kDrainCutShort{103, LogLevel::kError, "drain-cut-short"};
+
+constexpr LogEvent kPlacerRole{200, LogLevel::kInfo, "placer-role"};
+constexpr LogEvent kSlotAssigned{201, LogLevel::kInfo, "slot-assigned"};
+constexpr LogEvent kDriverOrdered{202, LogLevel::kInfo, "driver-ordered"};
+constexpr LogEvent kHotKeySplit{203, LogLevel::kInfo, "hot-key-split"};
+constexpr LogEvent kHotKeyMerged{204, LogLevel::kInfo, "hot-key-merged"};
+constexpr LogEvent kServerLapsed{205, LogLevel::kWarn, "server-lapsed"};
+constexpr LogEvent kFollowing{206, LogLevel::kInfo, "following-placer"};
+
+constexpr LogEvent kRouted{300, LogLevel::kInfo, "routed"};
+constexpr LogEvent kRefused{301, LogLevel::kWarn, "refused"};
+constexpr LogEvent kRetried{302, LogLevel::kInfo, "retried"};
+constexpr LogEvent kFailed{303, LogLevel::kWarn, "failed"};
+constexpr LogEvent kAnswerCut{304, LogLevel::kWarn, "answer-cut"};
+constexpr LogEvent kReplayed{305, LogLevel::kInfo, "replayed"};
+
+constexpr LogEvent kPlatformLost{400, LogLevel::kWarn, "platform-lost"};
+constexpr LogEvent kPlatformBack{401, LogLevel::kInfo, "platform-back"};
+constexpr LogEvent kCommitConflict{402, LogLevel::kWarn, "commit-conflict"};
+constexpr LogEvent kCommitUnknown{403, LogLevel::kWarn, "commit-unknown"};
+
+constexpr LogEvent kConfigStored{500, LogLevel::kInfo, "config-stored"};
+constexpr LogEvent kConfigInForce{501, LogLevel::kInfo, "config-in-force"};
+constexpr LogEvent kConfigRefused{502, LogLevel::kWarn, "config-refused"};
+
+constexpr LogEvent kBadRequest{600, LogLevel::kWarn, "bad-request"};
+constexpr LogEvent kBadPeerMessage{601, LogLevel::kWarn, "bad-peer-message"};
+constexpr LogEvent kBadCommand{602, LogLevel::kWarn, "bad-command"};
+constexpr LogEvent kBadDocument{603, LogLevel::kError, "bad-document"};
+
+constexpr LogEvent kAccountFlushed{700, LogLevel::kInfo, "account-flushed"};
+
+}  // namespace currantbeam::events
--- /dev/null
+++ b/src/gateway/driver.cc
@@ -0,0 +1,378 @@
+#include "gateway/driver.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "gateway/relay.h"
+#include "runtime/runtime.h"
+
+namespace currantbeam {
+namespace {
+
+constexpr std::size_t kRememberedRequests = 100'000;
+constexpr auto kRetention = std::chrono::minutes(10);
+constexpr auto kGrantPoll = std::chrono::milliseconds(2);
+constexpr auto kShedPause = std::chrono::milliseconds(5);
+constexpr std::size_t kSketchSize = 256;
+constexpr std::size_t kMaxReportedKeys = 16;
+constexpr std::uint64_t kLeastHotCount = 50;
+constexpr double kHotShare = 0.02;
+
+}  // namespace
+
+/// A fiber that waits for a slot.
+struct Driver::Waiter {
+  explicit Waiter(FiberLoop& loop) : loop(loop), timer(loop.Io()) {}
+  FiberLoop& loop;
+  boost::asio::steady_timer timer;
+  std::atomic<bool> started{false};
+};
+
+struct Driver::ServerState {
+  ServerState(BackendServer server, TimePoint now)
+      : server(std::move(server)),
+        queue(this->server.slots, now),
+        sketch(kSketchSize) {}
+
+  const BackendServer server;
+  std::mutex mutex;  ///< Guards what follows.
+  ServerQueue queue;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+  ServiceTimes times;
+  HotKeySketch sketch;
+  std::unordered_map<SlotIndex, std::int64_t> slot_busy_us;
+  std::uint64_t next_id = 1;
+};
+
+/// Holds one slot of a server until it is destroyed.
+class Driver::Permit {
+ public:
+  Permit(Driver& driver, std::shared_ptr<ServerState> server, std::uint64_t id)
+      : driver(driver), server(std::move(server)), id(id) {}
+  Permit(const Permit&) = delete;
+  auto operator=(const Permit&) -> Permit& = delete;
+  ~Permit() {
+    const std::lock_guard lock(this->server->mutex);
+    this->server->queue.Finish(this->id);
+    this->driver.StartWaiting(*this->server);
+  }
+
+ private:
+  Driver& driver;
+  std::shared_ptr<ServerState> server;
+  std::uint64_t id;
+};
+
+Driver::Driver(GatewayState& state, BackendClient& client)
+    : state(state), client(client), memory(kRememberedRequests, kRetention) {}
+Driver::~Driver() = default;
+
+auto Driver::StateOf(const RouteTarget& target)
+    -> std::shared_ptr<ServerState> {
+  const std::lock_guard lock(this->mutex);
+  auto& known = this->servers[target.server.id];
+  if (!known || !(known->server == target.server)) {
+    known = std::make_shared<ServerState>(target.server,
+                                          this->state.GetClock().Now());
+  }
+  return known;
+}
+
+auto Driver::StartWaiting(ServerState& server) -> void {
+  const auto now = this->state.GetClock().Now();
+  for (const auto id : server.queue.TakeStartable(now)) {
+    const auto found = server.waiters.find(id);
+    if (found == server.waiters.end()) continue;
+    const auto waiter = found->second;
+    server.waiters.erase(found);
+    waiter->started = true;
+    boost::asio::post(waiter->loop.Io(), [waiter] { waiter->timer.cancel(); });
+  }
+}
+
+auto Driver::MakeItem(const RequestJob& job, ServerState& server) -> WorkItem {
+  WorkItem item;
+  item.id = server.next_id++;
+  item.work = job.work.name;
+  item.neighbour = job.neighbour;
+  item.enqueued = this->state.GetClock().Now();
+  item.deadline = job.deadline;
+  item.expected = server.times.Expect(job.work.name, job.hash);
+  item.is_long = server.times.IsLong(job.work.name, job.hash);
+  const auto view = this->state.CurrentView();
+  const std::lock_guard lock(this->policy_mutex);
+  const auto policy = this->controller.PolicyOf(job.work.name);
+  item.weight = policy.weight * view.configuration->ShareOf(job.neighbour);
+  // Long work is not held to the waiting target of the short.
+  item.patience = item.is_long ? Duration(job.work.deadline) : policy.patience;
+  return item;
+}
+
+auto Driver::WaitForSlot(RequestJob& job,
+                         const std::shared_ptr<ServerState>& server)
+    -> std::unique_ptr<Permit> {
+  auto waiter = std::make_shared<Waiter>(FiberLoop::Current());
+  std::uint64_t id = 0;
+  const auto now = this->state.GetClock().Now();
+  {
+    const std::lock_guard lock(server->mutex);
+    const auto item = this->MakeItem(job, *server);
+    id = item.id;
+    Duration retry_after{0};
+    server->waiters.emplace(id, waiter);
+    if (server->queue.Offer(item, now, retry_after) == Admission::kRefused) {
+      server->waiters.erase(id);
+      throw OverloadError("no room at server " + server->server.id.Value() +
+                              " within the time allowed",
+                          retry_after);
+    }
+    this->StartWaiting(*server);
+  }
+  if (!waiter->started) {
+    waiter->timer.expires_after(job.deadline - now);
+    Await([&](auto handler) { waiter->timer.async_wait(handler); });
+  }
+  job.waited = this->state.GetClock().Now() - now;
+  {
+    const std::lock_guard lock(server->mutex);
+    if (!waiter->started) {
+      server->queue.Withdraw(id);
+      server->waiters.erase(id);
+      throw OverloadError("deadline passed in the queue", Duration(0));
+    }
+  }
+  auto permit = std::make_unique<Permit>(*this, server, id);
+  {
+    const std::lock_guard lock(this->policy_mutex);
+    this->controller.OnStarted(job.work.name, job.waited);
+  }
+  if (this->state.GetClock().Now() >= job.deadline) {
+    throw OverloadError("deadline passed in the queue", Duration(0));
+  }
+  return permit;
+}
+
+auto Driver::Settle(const RequestJob& job, ServerState& server, SlotIndex slot,
+                    Duration busy) -> void {
+  {
+    const std::lock_guard lock(server.mutex);
+    server.times.Observe(job.work.name, job.hash, busy);
+    server.slot_busy_us[slot] += busy.count();
+    server.sketch.Add(job.hash);
+  }
+  const std::lock_guard lock(this->policy_mutex);
+  this->account.Add({job.neighbour, job.work.name, server.server.id}, busy);
+}
+
+auto Driver::Relay(RequestJob& job, HttpExchange& exchange, ServerState& server,
+                   BackendCall& call) -> void {
+  AnswerRelay relay(exchange);
+  const bool keeps = !job.idempotency_key.empty() && !job.work.idempotent;
+  if (keeps) relay.Remember();
+  auto head = call.Head();
+  head.erase(backend_headers::kBusy);
+  SetVerdict(head, Verdict::kRan);
+  head.set(answer_headers::kWaited, std::to_string(job.waited.count()));
+  head.set(answer_headers::kServer, server.server.id.Value());
+  relay.Run(call, std::move(head));
+  if (!keeps) return;
+  const std::lock_guard lock(this->policy_mutex);
+  this->memory.Answer(job.idempotency_key, relay.Remembered());
+}
+
+auto Driver::SendAndRelay(RequestJob& job, HttpExchange& exchange,
+                          ServerState& server, SlotIndex slot) -> void {
+  const auto& id = server.server.id;
+  bool working = false;
+  BackendRequest request;
+  request.request = job.request;
+  request.slot = slot;
+  const auto& clock = this->state.GetClock();
+  request.deadline = TimeLeft(job.deadline, clock.Now());
+  TimePoint sent;
+  request.authorize = [&]() -> std::optional<FencingToken> {
+    return this->state.WithAgent([&](GatewayAgent& agent) {
+      const auto token = agent.Drives().MayDispatch(id, slot);
+      if (token.has_value() && !job.work.idempotent) {
+        agent.Drives().BeginWork(id, slot);
+        working = true;
+      }
+      sent = clock.Now();
+      return token;
+    });
+  };
+  const auto end_work = [&] {
+    if (!working) return;
+    this->state.WithAgent(
+        [&](GatewayAgent& agent) { agent.Drives().EndWork(id, slot); });
+    working = false;
+  };
+  std::unique_ptr<BackendCall> call;
+  try {
+    call = this->client.Send(server.server, request);
+    if (call->Outcome() == BackendOutcome::kAnswered) {
+      this->Relay(job, exchange, server, *call);
+    }
+  } catch (const RequestError& error) {
+    end_work();
+    if (error.GetVerdict() != Verdict::kNotRun) {
+      const auto busy = call ? call->BusyTime() : std::nullopt;
+      this->Settle(job, server, slot, busy.value_or(clock.Now() - sent));
+    }
+    throw;
+  }
+  end_work();
+  switch (call->Outcome()) {
+    case BackendOutcome::kAnswered:
+      this->Settle(job, server, slot,
+                   call->BusyTime().value_or(clock.Now() - sent));
+      break;
+    case BackendOutcome::kShed: {
+      const std::lock_guard lock(server.mutex);
+      server.queue.Limit().OnShed(clock.Now());
+      throw ShedError("server " + id.Value() + " shed the request");
+    }
+    case BackendOutcome::kNotOwner:
+      throw RerouteError("server " + id.Value() + " holds no grant");
+  }
+  const std::lock_guard lock(server.mutex);
+  server.queue.Limit().OnAnswer(clock.Now());
+}
+
+auto Driver::SendWithRetries(RequestJob& job, HttpExchange& exchange,
+                             const std::shared_ptr<ServerState>& server,
+                             SlotIndex slot) -> void {
+  while (true) {
+    try {
+      const auto permit = this->WaitForSlot(job, server);
+      this->SendAndRelay(job, exchange, *server, slot);
+      return;
+    } catch (const ShedError&) {
+      const std::lock_guard lock(this->policy_mutex);
+      if (!this->retries.TryRetry()) throw;
+    }
+    this->state.GetMetrics().CountRetry();
+    SleepFor(kShedPause);
+  }
+}
+
+auto Driver::RunOnce(RequestJob& job, HttpExchange& exchange,
+                     const Route& route) -> void {
+  const auto& server_id = route.target->server.id;
+  const auto server = this->StateOf(*route.target);
+  const auto may_send = [&] {
+    return this->state.WithAgent([&](GatewayAgent& agent) {
+      return agent.Drives().MayDispatch(server_id, route.slot).has_value();
+    });
+  };
+  if (!may_send()) {
+    SleepFor(kGrantPoll);
+    if (!may_send()) throw RerouteError("no grant in force yet");
+  }
+  try {
+    this->SendWithRetries(job, exchange, server, route.slot);
+  } catch (const OverloadError&) {
+    throw;
+  } catch (const RequestError& error) {
+    // Nothing was sent: the server may be gone, or the slot elsewhere by now.
+    if (error.GetVerdict() != Verdict::kNotRun) throw;
+    throw RerouteError(error.what());
+  }
+}
+
+auto Driver::Run(RequestJob& job, HttpExchange& exchange) -> void {
+  const auto view = this->state.CurrentView();
+  const auto* service = view.routes ? view.routes->Find(job.service) : nullptr;
+  if (service == nullptr) throw RerouteError("no routes yet");
+  const auto route = service->Find(job.hash);
+  if (route.target == nullptr ||
+      route.target->gateway != this->state.Settings().host) {
+    throw RerouteError("not the driver of slot " + std::to_string(route.slot));
+  }
+  if (route.moving) throw RerouteError("slot is moving");
+  {
+    const std::lock_guard lock(this->policy_mutex);
+    this->retries.OnRequest();
+  }
+  const bool remembers = !job.idempotency_key.empty() && !job.work.idempotent;
+  if (remembers) {
+    IdempotencyMemory::Found found;
+    {
+      const std::lock_guard lock(this->policy_mutex);
+      found =
+          this->memory.Begin(job.idempotency_key, this->state.GetClock().Now());
+    }
+    if (found.state != IdempotencyMemory::State::kNew) {
+      SendRemembered(exchange, found);
+      return;
+    }
+  }
+  bool completed = false;
+  const auto note_end = [&] {
+    const std::lock_guard lock(this->policy_mutex);
+    this->controller.OnEnded(job.work.name, completed);
+  };
+  try {
+    this->RunOnce(job, exchange, route);
+    completed = this->state.GetClock().Now() <= job.deadline;
+    note_end();
+  } catch (const RequestError& error) {
+    const bool not_run = error.GetVerdict() == Verdict::kNotRun;
+    if (remembers && not_run) {
+      const std::lock_guard lock(this->policy_mutex);
+      this->memory.Forget(job.idempotency_key);
+    }
+    if (dynamic_cast<const RerouteError*>(&error) == nullptr) note_end();
+    throw;
+  }
+}
+
+auto Driver::TryRetry() -> bool {
+  const std::lock_guard lock(this->policy_mutex);
+  return this->retries.TryRetry();
+}
+
+auto Driver::SetConfiguration(const Configuration& configuration) -> void {
+  const std::lock_guard lock(this->policy_mutex);
+  this->controller.SetTargets(configuration.classes);
+}
+
+auto Driver::Adjust() -> void {
+  const std::lock_guard lock(this->policy_mutex);
+  this->controller.Adjust();
+}
+
+auto Driver::FillReport(Report& report) -> void {
+  std::vector<std::shared_ptr<ServerState>> known;
+  {
+    const std::lock_guard lock(this->mutex);
+    for (const auto& [id, server] : this->servers) known.push_back(server);
+  }
+  for (const auto& server : known) {
+    const std::lock_guard lock(server->mutex);
+    for (const auto& [slot, busy] : server->slot_busy_us) {
+      report.loads.push_back({server->server.service, slot, busy});
+    }
+    server->slot_busy_us.clear();
+    const auto least =
+        std::max(kLeastHotCount,
+                 static_cast<std::uint64_t>(
+                     kHotShare * static_cast<double>(server->sketch.Total())));
+    auto hot = server->sketch.AtLeast(least);
+    if (hot.size() > kMaxReportedKeys) hot.resize(kMaxReportedKeys);
+    for (const auto& key : hot) {
+      report.hot_keys.push_back({server->server.service, key.hash, key.count});
+    }
+    server->sketch.Halve();
+  }
+}
+
+auto Driver::CurrentAccount() -> std::pair<Account, std::uint64_t> {
+  const std::lock_guard lock(this->policy_mutex);
+  return {this->account, this->account.Changes()};
+}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/gateway/request_job.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+
+#include "core/core.h"
+#include "http/http.h"
+#include "routing/routing.h"
+
+namespace currantbeam {
+
+/// One request on its way through a gateway.
+struct RequestJob {
+  const HttpRequest* request = nullptr;
+  ServiceName service;
+  WorkClass work;
+  NeighbourName neighbour;
+  std::string key;
+  std::uint64_t hash = 0;
+  std::string idempotency_key;
+  TimePoint arrived;
+  TimePoint deadline;
+  Duration waited{0};  ///< Set once a slot was had.
+};
+
+/// The route was out of date; the request was not run and may be tried again.
+class RerouteError : public RequestError {
+ public:
+  explicit RerouteError(const std::string& what)
+      : RequestError(Verdict::kNotRun, what) {}
+};
+
+/// There is no room; the request was not run.
+class OverloadError : public RequestError {
+ public:
+  OverloadError(const std::string& what, Duration retry_after)
+      : RequestError(Verdict::kNotRun, what), retry_after(retry_after) {}
+  [[nodiscard]] auto RetryAfter() const -> Duration {
+    return this->retry_after;
+  }
+
+ private:
+  Duration retry_after;
+};
+
+/// The server refused for lack of capacity; the request was not run.
+class ShedError : public OverloadError {
+ public:
+  explicit ShedError(const std::string& what)
+      : OverloadError(what, std::chrono::seconds(1)) {}
+};
+
+/// @return milliseconds from now to the deadline, at least 1.
+inline auto TimeLeft(TimePoint deadline, TimePoint now)
+    -> std::chrono::milliseconds {
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+  return std::max(left, std::chrono::milliseconds(1));
+}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/http/http.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// @file
+/// Public header of the HTTP library: Boost.Beast on fibers.
+
+#include "http/answer_source.h"
+#include "http/http_client.h"
+#include "http/http_exchange.h"
+#include "http/http_server.h"
+#include "http/http_types.h"
--- /dev/null
+++ b/src/http/http_server.cc
@@ -0,0 +1,297 @@
+#include "http/http_server.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cstdio>
+#include <utility>
+
+namespace currantbeam {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ReusePort =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+constexpr auto kDrainPoll = std::chrono::milliseconds(5);
+constexpr auto kAcceptRetry = std::chrono::milliseconds(20);
+
+}  // namespace
+
+/// The server's end of one connection, serving one request after another.
+class HttpServer::Connection : public HttpExchange {
+ public:
+  Connection(HttpServer& server, TcpSocket socket)
+      : server(server),
+        stream(std::move(socket)),
+        buffer(server.options.limits.header_bytes + kReadAhead) {}
+
+  auto Run() -> void {
+    while (this->ReadRequest()) {
+      ++this->server.in_hand;
+      this->started = false;
+      this->finished = false;
+      this->HandleOne();
+      --this->server.in_hand;
+      if (this->broken || !this->finished) break;
+      if (this->server.stopping || !this->request.keep_alive()) break;
+    }
+    this->Close();
+  }
+
+  [[nodiscard]] auto Request() const -> const HttpRequest& override {
+    return this->request;
+  }
+
+  auto Send(HttpResponse response) -> void override {
+    this->started = true;
+    response.version(11);
+    response.keep_alive(this->KeepAlive());
+    response.prepare_payload();
+    if (this->request.method() == http::verb::head) response.body().clear();
+    this->Arm(this->server.options.io_timeout);
+    const auto result = Await([&](auto handler) {
+      http::async_write(this->stream, response, handler);
+    });
+    this->CheckWrite(result);
+    this->finished = true;
+  }
+
+  auto StartBody(const http::response_header<>& head,
+                 std::optional<std::uint64_t> length) -> void override {
+    this->started = true;
+    http::response<http::empty_body> response{head};
+    response.version(11);
+    response.keep_alive(this->KeepAlive());
+    this->chunked = !length.has_value();
+    if (this->chunked) {
+      response.chunked(true);
+    } else {
+      response.content_length(*length);
+    }
+    http::response_serializer<http::empty_body> serializer(response);
+    this->Arm(this->server.options.io_timeout);
+    const auto result = Await([&](auto handler) {
+      http::async_write_header(this->stream, serializer, handler);
+    });
+    this->CheckWrite(result);
+  }
+
+  auto SendBody(std::string_view data) -> void override {
+    if (data.empty()) return;
+    char size[20];
+    const auto size_length =
+        std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+    const std::array<asio::const_buffer, 3> parts = {
+        asio::buffer(size,
+                     this->chunked ? static_cast<std::size_t>(size_length) : 0),
+        asio::buffer(data.data(), data.size()),
+        asio::buffer("\r\n", this->chunked ? 2 : 0)};
+    this->Arm(this->server.options.io_timeout);
+    const auto result = Await(
+        [&](auto handler) { asio::async_write(this->stream, parts, handler); });
+    this->CheckWrite(result);
+  }
+
+  auto FinishBody() -> void override {
+    if (this->chunked) {
+      this->Arm(this->server.options.io_timeout);
+      const auto result = Await([&](auto handler) {
+        asio::async_write(this->stream, asio::buffer("0\r\n\r\n", 5), handler);
+      });
+      this->CheckWrite(result);
+    }
+    this->finished = true;
+  }
+
+  auto Abort() -> void override {
+    this->broken = true;
+    boost::system::error_code ignored;
+    // A reset, so that even a close-delimited answer is seen to be cut.
+    this->stream.socket().set_option(asio::socket_base::linger(true, 0),
+                                     ignored);
+    this->stream.socket().close(ignored);
+  }
+
+  [[nodiscard]] auto HasStarted() const -> bool override {
+    return this->started;
+  }
+
+  [[nodiscard]] auto IsClientGone() const -> bool override {
+    if (this->broken) return true;
+    char byte = 0;
+    const auto fd =
+        const_cast<TcpStream&>(this->stream).socket().native_handle();
+    const auto received = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0;
+  }
+
+ private:
+  static constexpr std::size_t kReadAhead = 64 * 1024;
+
+  [[nodiscard]] auto KeepAlive() const -> bool {
+    return this->request.keep_alive() && !this->server.stopping;
+  }
+
+  auto Arm(std::chrono::milliseconds timeout) -> void {
+    this->stream.expires_after(timeout);
+  }
+
+  auto CheckWrite(const AwaitResult& result) -> void {
+    if (!result.error) return;
+    this->broken = true;
+    throw RequestError(Verdict::kMayHaveRun,
+                       "client is gone: " + result.error.message());
+  }
+
+  auto ReadRequest() -> bool {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(this->server.options.limits.header_bytes);
+    parser.body_limit(this->server.options.limits.body_bytes);
+    this->Arm(this->server.options.idle_timeout);
+    const auto result = Await([&](auto handler) {
+      http::async_read(this->stream, this->buffer, parser, handler);
+    });
+    if (!result.error) {
+      this->request = parser.release();
+      return true;
+    }
+    if (result.error.category() ==
+            http::make_error_code(http::error::end_of_stream).category() &&
+        result.error != http::error::end_of_stream &&
+        result.error != http::error::partial_message) {
+      this->RefuseInput(result.error);
+    }
+    return false;
+  }
+
+  auto RefuseInput(const boost::system::error_code& error) -> void {
+    auto status = http::status::bad_request;
+    if (error == http::error::header_limit) {
+      status = http::status::request_header_fields_too_large;
+    }
+    if (error == http::error::body_limit) {
+      status = http::status::payload_too_large;
+    }
+    HttpResponse response{status, 11};
+    SetVerdict(response, Verdict::kNotRun);
+    response.set(http::field::content_type, "text/plain");
+    response.body() = "request not understood: " + error.message() + "\n";
+    this->request = HttpRequest();
+    this->request.keep_alive(false);
+    try {
+      this->Send(std::move(response));
+    } catch (const RequestError&) {
+      this->broken = true;
+    }
+    this->server.handler.OnBadInput(error.message());
+  }
+
+  auto HandleOne() -> void {
+    try {
+      this->server.handler.Handle(*this);
+    } catch (const std::exception&) {
+      this->broken = true;
+    }
+  }
+
+  auto Close() -> void {
+    boost::system::error_code ignored;
+    if (!this->broken) {
+      this->stream.socket().shutdown(TcpSocket::shutdown_send, ignored);
+    }
+    this->stream.socket().close(ignored);
+  }
+
+  HttpServer& server;
+  TcpStream stream;
+  boost::beast::flat_buffer buffer;
+  HttpRequest request;
+  bool started = false;
+  bool finished = false;
+  bool broken = false;
+  bool chunked = false;
+};
+
+HttpServer::HttpServer(Options options, HttpHandler& handler)
+    : options(std::move(options)), handler(handler) {}
+
+auto HttpServer::Listen(FiberLoop& loop) -> void {
+  const auto where =
+      this->options.address + ":" + std::to_string(this->options.port);
+  try {
+    auto acceptor = std::make_shared<Acceptor>(loop.Io());
+    const tcp::endpoint endpoint(asio::ip::make_address(this->options.address),
+                                 this->options.port);
+    acceptor->open(endpoint.protocol());
+    acceptor->set_option(tcp::acceptor::reuse_address(true));
+    acceptor->set_option(ReusePort(true));
+    acceptor->bind(endpoint);
+    acceptor->listen(asio::socket_base::max_listen_connections);
+    {
+      const std::lock_guard lock(this->mutex);
+      this->acceptors.emplace_back(&loop, acceptor);
+    }
+    loop.Spawn([this, acceptor] { this->AcceptLoop(acceptor); });
+  } catch (const boost::system::system_error& error) {
+    throw Error("cannot listen on " + where + ": " + error.what());
+  }
+}
+
+auto HttpServer::AcceptLoop(const std::shared_ptr<Acceptor>& acceptor) -> void {
+  while (!this->stopping) {
+    TcpSocket socket(FiberLoop::Current().Io().get_executor());
+    const auto result =
+        Await([&](auto handler) { acceptor->async_accept(socket, handler); });
+    if (this->stopping) return;
+    if (result.error) {
+      SleepFor(kAcceptRetry);
+      continue;
+    }
+    if (this->connections >= this->options.max_connections) continue;
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    ++this->connections;
+    auto shared = std::make_shared<TcpSocket>(std::move(socket));
+    FiberLoop::Current().Spawn([this, shared] {
+      this->Serve(std::move(*shared));
+      --this->connections;
+    });
+  }
+}
+
+auto HttpServer::Serve(TcpSocket socket) -> void {
+  Connection connection(*this, std::move(socket));
+  connection.Run();
+}
+
+auto HttpServer::StopAccepting() -> void {
+  this->stopping = true;
+  const std::lock_guard lock(this->mutex);
+  for (auto& [loop, acceptor] : this->acceptors) {
+    asio::post(loop->Io(), [acceptor = acceptor] {
+      boost::system::error_code ignored;
+      acceptor->close(ignored);
+    });
+  }
+  this->acceptors.clear();
+}
+
+auto HttpServer::Drain(std::chrono::milliseconds deadline) -> std::size_t {
+  const auto until = std::chrono::steady_clock::now() + deadline;
+  while (this->in_hand != 0 && std::chrono::steady_clock::now() < until) {
+    SleepFor(kDrainPoll);
+  }
+  return this->in_hand;
+}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/http/http_types.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/basic_stream.hpp>
+#include <boost/beast/core/rate_policy.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <string>
+
+#include "core/core.h"
+
+namespace currantbeam {
+
+namespace http = boost::beast::http;
+
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+using HttpFields = http::fields;
+using TcpSocket =
+    boost::asio::basic_stream_socket<boost::asio::ip::tcp,
+                                     boost::asio::io_context::executor_type>;
+using TcpStream =
+    boost::beast::basic_stream<boost::asio::ip::tcp,
+                               boost::asio::io_context::executor_type,
+                               boost::beast::unlimited_rate_policy>;
+
+/// The header that says whether a failed request may have run.
+constexpr const char* kVerdictHeader = "currantbeam-verdict";
+
+inline auto SetVerdict(HttpFields& fields, Verdict verdict) -> void {
+  fields.set(kVerdictHeader, std::string(ToString(verdict)));
+}
+
+/// Bounds on what one peer may send.
+struct HttpLimits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 4 * 1024 * 1024;
+};
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/operators/operator_handler.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+
+#include "http/http.h"
+#include "placer/placer_process.h"
+
+namespace currantbeam {
+
+/// Answers operators' commands over HTTP with JSON; docs/PROTOCOLS.md lists
+/// them. Any placer answers; a standby says what it has been told.
+class OperatorHandler : public HttpHandler {
+ public:
+  OperatorHandler(PlacerProcess& process, const Clock& clock)
+      : process(process), clock(clock) {}
+
+  auto Handle(HttpExchange& exchange) -> void override;
+  auto OnBadInput(const std::string& what) -> void override;
+
+ private:
+  auto Answer(const HttpRequest& request) -> HttpResponse;
+  auto Status() -> nlohmann::json;
+  auto ServerRows() -> nlohmann::json;
+  auto Explain(const std::string& service, const std::string& key)
+      -> nlohmann::json;
+  auto ConfigurationStatus() -> nlohmann::json;
+  auto Apply(const HttpRequest& request) -> HttpResponse;
+  auto Mark(const HttpRequest& request) -> HttpResponse;
+  auto Store(Configuration configuration, std::uint64_t base) -> HttpResponse;
+  auto SettlementReport() -> nlohmann::json;
+
+  PlacerProcess& process;
+  const Clock& clock;
+};
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/operators/operators.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file
+/// Public header of the library for operators' commands.
+
+#include "operators/operator_handler.h"
--- /dev/null
+++ b/src/policy/policy.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// @file
+/// Public header of the policy library: how much work a server is given, in
+/// which order, and what is refused. Nothing here talks to anybody.
+
+#include "policy/class_controller.h"
+#include "policy/concurrency_limit.h"
+#include "policy/hot_key_sketch.h"
+#include "policy/idempotency_memory.h"
+#include "policy/retry_budget.h"
+#include "policy/server_queue.h"
+#include "policy/service_times.h"
--- /dev/null
+++ b/src/servers/http_backend_client.cc
@@ -0,0 +1,162 @@
+#include "servers/http_backend_client.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace currantbeam {
+namespace {
+
+constexpr auto kConnectTimeout = std::chrono::milliseconds(300);
+
+/// A call over a pooled connection, which goes back once the body is read.
+class HttpBackendCall : public BackendCall {
+ public:
+  HttpBackendCall(const BackendServer& server,
+                  std::unique_ptr<HttpConnection> connection,
+                  const http::response_header<>& head)
+      : server(server), connection(std::move(connection)), head(head) {}
+
+  ~HttpBackendCall() override {
+    ConnectionPool::Current().Give(this->server.endpoint.address,
+                                   this->server.endpoint.port,
+                                   std::move(this->connection));
+  }
+
+  [[nodiscard]] auto Outcome() const -> BackendOutcome override {
+    const auto verdict = this->head.find(kVerdictHeader);
+    const bool not_run = verdict != this->head.end() &&
+                         verdict->value() == ToString(Verdict::kNotRun).data();
+    if (!not_run) return BackendOutcome::kAnswered;
+    if (this->head.result() == http::status::conflict) {
+      return BackendOutcome::kNotOwner;
+    }
+    return BackendOutcome::kShed;
+  }
+
+  [[nodiscard]] auto Head() const -> const http::response_header<>& override {
+    return this->head;
+  }
+
+  [[nodiscard]] auto BodyLength() const
+      -> std::optional<std::uint64_t> override {
+    return this->connection->BodyLength();
+  }
+
+  auto ReadBody(std::chrono::milliseconds timeout)
+      -> std::string_view override {
+    return this->connection->ReadBody(timeout);
+  }
+
+  [[nodiscard]] auto BusyTime() const -> std::optional<Duration> override {
+    // A trailer goes before the head's value: it is known later.
+    const auto text = this->connection->Field(backend_headers::kBusy);
+    if (text.empty()) return std::nullopt;
+    std::int64_t micros = 0;
+    std::from_chars(text.data(), text.data() + text.size(), micros);
+    return Duration(micros);
+  }
+
+ private:
+  const BackendServer& server;
+  std::unique_ptr<HttpConnection> connection;
+  http::response_header<> head;
+};
+
+auto MakeOutgoing(const BackendServer& server, const BackendRequest& request,
+                  FencingToken token) -> HttpRequest {
+  HttpRequest outgoing = *request.request;
+  outgoing.version(11);
+  outgoing.keep_alive(true);
+  outgoing.set(http::field::host, server.endpoint.ToString());
+  outgoing.set(backend_headers::kSlot, std::to_string(request.slot));
+  outgoing.set(backend_headers::kToken, std::to_string(token));
+  outgoing.set(backend_headers::kDeadline,
+               std::to_string(request.deadline.count()));
+  outgoing.prepare_payload();
+  return outgoing;
+}
+
+}  // namespace
+
+auto EncodeGrant(const Grant& grant) -> std::string {
+  return nlohmann::json{{"token", grant.token},
+                        {"sequence", grant.sequence},
+                        {"server_run", grant.server_run},
+                        {"expires_at_us", grant.expires_at},
+                        {"slots", grant.slots}}
+      .dump();
+}
+
+auto DecodeGrant(const std::string& text) -> Grant {
+  try {
+    const auto json = nlohmann::json::parse(text);
+    Grant grant;
+    json.at("token").get_to(grant.token);
+    json.at("sequence").get_to(grant.sequence);
+    json.at("server_run").get_to(grant.server_run);
+    json.at("expires_at_us").get_to(grant.expires_at);
+    json.at("slots").get_to(grant.slots);
+    return grant;
+  } catch (const nlohmann::json::exception& error) {
+    throw InputError(std::string("grant: ") + error.what());
+  }
+}
+
+auto EncodeGrantAnswer(const GrantAnswer& answer) -> std::string {
+  return nlohmann::json{{"accepted", answer.accepted},
+                        {"server_run", answer.server_run},
+                        {"clock_us", answer.clock},
+                        {"token", answer.token}}
+      .dump();
+}
+
+auto DecodeGrantAnswer(const std::string& text) -> GrantAnswer {
+  try {
+    const auto json = nlohmann::json::parse(text);
+    GrantAnswer answer;
+    json.at("accepted").get_to(answer.accepted);
+    json.at("server_run").get_to(answer.server_run);
+    json.at("clock_us").get_to(answer.clock);
+    json.at("token").get_to(answer.token);
+    return answer;
+  } catch (const nlohmann::json::exception& error) {
+    throw InputError(std::string("answer to a grant: ") + error.what());
+  }
+}
+
+auto HttpBackendClient::SendGrant(const BackendServer& server,
+                                  const Grant& grant,
+                                  std::chrono::milliseconds timeout)
+    -> GrantAnswer {
+  HttpRequest request{http::verb::post, kGrantPath, 11};
+  request.set(http::field::content_type, "application/json");
+  request.body() = EncodeGrant(grant);
+  const auto response = Fetch(server.endpoint.address, server.endpoint.port,
+                              std::move(request), timeout);
+  if (response.result() != http::status::ok) {
+    throw RequestError(
+        Verdict::kMayHaveRun,
+        "grant was answered with " + std::to_string(response.result_int()));
+  }
+  return DecodeGrantAnswer(response.body());
+}
+
+auto HttpBackendClient::Send(const BackendServer& server,
+                             const BackendRequest& request)
+    -> std::unique_ptr<BackendCall> {
+  const auto& endpoint = server.endpoint;
+  auto connection = ConnectionPool::Current().Take(
+      endpoint.address, endpoint.port,
+      std::min(kConnectTimeout, request.deadline));
+  const auto token = request.authorize();
+  if (!token.has_value()) {
+    throw RequestError(Verdict::kNotRun, "no grant in force for slot " +
+                                             std::to_string(request.slot));
+  }
+  const auto outgoing = MakeOutgoing(server, request, *token);
+  const auto head = connection->Exchange(outgoing, request.deadline);
+  return std::make_unique<HttpBackendCall>(server, std::move(connection), head);
+}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/settlement/account.cc
@@ -0,0 +1,48 @@
+#include "settlement/account.h"
+
+namespace currantbeam {
+
+auto Account::Add(const AccountKey& key, Duration slot_time) -> void {
+  auto& entry = this->entries[key];
+  ++entry.requests;
+  entry.slot_time += slot_time;
+  ++this->changes;
+}
+
+auto Account::Merge(const Account& other) -> void {
+  for (const auto& [key, theirs] : other.entries) {
+    auto& entry = this->entries[key];
+    entry.requests += theirs.requests;
+    entry.slot_time += theirs.slot_time;
+  }
+  ++this->changes;
+}
+
+auto Account::Total() const -> Duration {
+  Duration total{0};
+  for (const auto& [key, entry] : this->entries) total += entry.slot_time;
+  return total;
+}
+
+auto to_json(nlohmann::json& json, const Account& account) -> void {
+  json = nlohmann::json::array();
+  for (const auto& [key, entry] : account.entries) {
+    json.push_back({key.neighbour, key.work, key.server, entry.requests,
+                    entry.slot_time.count()});
+  }
+}
+
+auto from_json(const nlohmann::json& json, Account& account) -> void {
+  account.entries.clear();
+  for (const auto& row : json) {
+    AccountKey key;
+    row.at(0).get_to(key.neighbour);
+    row.at(1).get_to(key.work);
+    row.at(2).get_to(key.server);
+    auto& entry = account.entries[key];
+    row.at(3).get_to(entry.requests);
+    entry.slot_time = Duration(row.at(4).get<std::int64_t>());
+  }
+}
+
+}  // namespace currantbeam
