--- /dev/null
+++ b/scripts/recovery.py
@@ -0,0 +1,96 @@
+"""Measures how long a loss keeps requests waiting: the longest time from a
+request's planned arrival to its whole answer, over repeated losses."""
+
+import argparse
+import json
+import shutil
+import signal
+import statistics
+import subprocess
+import sys
+import time
+
+import fleet
+
+CASES = ["server-kill", "server-stop", "host-kill", "host-stop", "placer-kill", "placer-stop"]
+
+
+def inject(deployment, case, turn):
+    """Applies the loss and returns what undoes it."""
+    how = signal.SIGKILL if case.endswith("kill") else signal.SIGSTOP
+    if case.startswith("server"):
+        names = [deployment.servers[turn % 16]["id"]]
+    elif case.startswith("placer"):
+        domain = deployment.shape["domains"][turn % 3]
+        names = ["placer-" + deployment.active_placer(domain)["id"]]
+    else:
+        host = deployment.hosts[turn % len(deployment.hosts)]["id"]
+        names = ["gateway-" + host, "placer-" + host]
+    deployment.gone = [n for n in names if n.startswith("gateway-")]
+    for name in names:
+        deployment.kill(name, how)
+
+    def undo():
+        for name in names:
+            if how == signal.SIGKILL:
+                deployment.start_process(name)
+            else:
+                deployment.processes[name].send_signal(signal.SIGCONT)
+    return undo
+
+
+def run_once(deployment, case, turn, scenario, build, platform_down):
+    # The balancer leaves out the entry host that is lost.
+    lost = deployment.hosts[turn % len(deployment.hosts)]["id"] if case.startswith("host") else None
+    targets = []
+    for h in deployment.hosts:
+        if h["id"] != lost:
+            targets += ["--target", f"{fleet.ADDRESS}:{h['ports']['callers']}"]
+    out = deployment.out / "load.json"
+    if platform_down:
+        deployment.platform_faults(down=True)
+        time.sleep(1)
+    load = subprocess.Popen([str(deployment.program("currantbeam-load")), "--scenario", scenario, "--out", str(out),
+                             "--workers", "1", *targets], stdout=subprocess.DEVNULL)
+    time.sleep(2)
+    undo = inject(deployment, case, turn)
+    load.wait(timeout=120)
+    undo()
+    if platform_down:
+        deployment.platform_faults(down=False)
+    time.sleep(2.5)
+    return json.loads(out.read_text())["streams"]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build/release")
+    parser.add_argument("--out", default="out/recovery")
+    parser.add_argument("--runs", type=int, default=20)
+    parser.add_argument("--platform-down", action="store_true")
+    parser.add_argument("--scenario", default=str(fleet.ROOT / "examples/scenarios/recovery.toml"))
+    parser.add_argument("cases", nargs="*", default=CASES)
+    options = parser.parse_args()
+    shutil.rmtree(options.out, ignore_errors=True)
+    deployment = fleet.Fleet("saphir-pointe", options.build, options.out, base_port=23000)
+    try:
+        deployment.start()
+        deployment.wait_ready()
+        time.sleep(2)
+        for case in options.cases or CASES:
+            worst = []
+            counts = {"sent": 0, "answered": 0, "refused": 0, "failed": 0, "broken": 0}
+            for turn in range(options.runs):
+                streams = run_once(deployment, case, turn, options.scenario, options.build, options.platform_down)
+                worst.append(max(s["max_ms"] for s in streams.values()))
+                for name in counts:
+                    counts[name] += sum(s[name] for s in streams.values())
+            print(f"{case}{' platform-down' if options.platform_down else ''}: {options.runs} runs, longest wait "
+                  f"median {statistics.median(worst):.0f} ms, worst {max(worst):.0f} ms; {counts}", flush=True)
+    finally:
+        deployment.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
