Break off calls to servers and gateways that are known to be lost

Cause: a request sent to a frozen server was held until its own deadline before it was tried elsewhere, so a key whose new owner was ready after 0.4 s still kept that caller for 1.9 s. Ruled out: slow detection (the slots had moved after 0.4 s by the placer's log). Each loop now asks every 20 ms whether the peer of a call is lost, and breaks the call off; idempotent work is then tried again within the retry budget, other work is told that it may have run.

--- a/src/gateway/caller_handler.cc
+++ b/src/gateway/caller_handler.cc
@@ -89,8 +89,7 @@
     this->Finish(job, attempt, "answered", "");
     return true;
   }
-  const bool ran = ForwardToGateway(job, route.target->hop, exchange,
-                                    this->state.GetClock());
+  const bool ran = ForwardToGateway(job, *route.target, exchange, this->state);
   this->Finish(job, attempt, ran ? "answered" : "refused", "by driver");
   return true;
 }
--- a/src/gateway/driver.cc
+++ b/src/gateway/driver.cc
@@ -204,6 +204,11 @@
       return token;
     });
   };
+  request.is_server_lost = [this, id] {
+    return this->state.WithAgent([&](GatewayAgent& agent) {
+      return agent.Drives().HasLapsed(id);
+    });
+  };
   const auto end_work = [&] {
     if (!working) return;
     this->state.WithAgent(
--- a/src/gateway/hop.cc
+++ b/src/gateway/hop.cc
@@ -35,6 +35,16 @@
   return value;
 }
 
+/// @return true if the server's driver was replaced because it was lost.
+auto IsGatewayLost(const GatewayState& state, const ServerId& server,
+                   const HostId& gateway) -> bool {
+  const auto view = state.CurrentView();
+  const auto* target =
+      view.routes ? view.routes->FindTarget(server) : nullptr;
+  return target != nullptr && target->lost_gateway == gateway &&
+         target->gateway != gateway;
+}
+
 auto MakeForwarded(const RequestJob& job, TimePoint now) -> HttpRequest {
   HttpRequest forwarded = *job.request;
   forwarded.version(11);
@@ -53,8 +63,10 @@
 
 }  // namespace
 
-auto ForwardToGateway(const RequestJob& job, const Endpoint& hop,
-                      HttpExchange& exchange, const Clock& clock) -> bool {
+auto ForwardToGateway(const RequestJob& job, const RouteTarget& target,
+                      HttpExchange& exchange, GatewayState& state) -> bool {
+  const auto& clock = state.GetClock();
+  const auto hop = target.hop;
   auto& pool = ConnectionPool::Current();
   const auto now = clock.Now();
   const auto left = TimeLeft(job.deadline, now);
@@ -67,12 +79,18 @@
   }
   // The driving gateway keeps the deadline; the margin lets it say so.
   constexpr auto kMargin = std::chrono::milliseconds(100);
+  auto watch = std::make_unique<CallWatch>(
+      *connection, [&state, server = target.server.id,
+                    gateway = target.gateway] {
+        return IsGatewayLost(state, server, gateway);
+      });
   const auto head =
       connection->Exchange(MakeForwarded(job, now), left + kMargin);
   if (head.find(answer_headers::kReroute) != head.end()) {
     const std::string why(head[answer_headers::kReroute]);
     while (!connection->ReadBody(left).empty()) {
     }
+    watch.reset();
     pool.Give(hop.address, hop.port, std::move(connection));
     throw RerouteError(why);
   }
@@ -83,6 +101,7 @@
   }
   AnswerRelay relay(exchange);
   relay.Run(*connection, head);
+  watch.reset();
   pool.Give(hop.address, hop.port, std::move(connection));
   return verdict == Verdict::kRan;
 }
--- a/src/gateway/hop.h
+++ b/src/gateway/hop.h
@@ -7,7 +7,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/request_job.h"
 #include "http/http.h"
-#include "ownership/ownership.h"
+#include "routing/routing.h"
 
 namespace currantbeam {
 
@@ -15,8 +15,8 @@
 /// answer.
 /// @return true if the request was answered by a backend server.
 /// @throws RerouteError or RequestError.
-auto ForwardToGateway(const RequestJob& job, const Endpoint& hop,
-                      HttpExchange& exchange, const Clock& clock) -> bool;
+auto ForwardToGateway(const RequestJob& job, const RouteTarget& target,
+                      HttpExchange& exchange, GatewayState& state) -> bool;
 
 /// Reads a request that another gateway sent on.
 /// @throws InputError if it lacks what gateways add.
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <iostream>
 
 #include "core/events.h"
@@ -40,6 +41,7 @@
     for (std::size_t i = 0; i < this->workers.Size(); ++i) {
       this->callers.Listen(this->workers.Loop(i));
       this->hops.Listen(this->workers.Loop(i));
+      this->workers.Loop(i).Spawn([this] { this->WatchCalls(); });
     }
     this->status.Listen(this->control_loop);
     this->control.Start();
@@ -69,10 +71,18 @@
     if (left != 0) {
       Log(events::kDrainCutShort, "in_hand=" + std::to_string(left));
     }
+    this->stopped = true;
     this->control.Stop();
     this->control_loop.Stop();
   }
 
+  auto WatchCalls() -> void {
+    while (!this->stopped) {
+      SleepFor(CallWatch::kInterval);
+      CallWatch::CheckAll();
+    }
+  }
+
   auto IsDriving() -> bool {
     return this->state.WithAgent(
         [](GatewayAgent& agent) { return !agent.Drives().Reports().empty(); });
@@ -81,6 +91,7 @@
   static constexpr auto kHandoverPoll = std::chrono::milliseconds(20);
   static constexpr int kHandoverPolls = 100;
 
+  std::atomic<bool> stopped{false};
   SteadyClock clock;
   FiberLoop control_loop;
   HttpBackendClient client;
--- a/src/ownership/drive_registry.cc
+++ b/src/ownership/drive_registry.cc
@@ -188,6 +188,11 @@
   }
 }
 
+auto DriveRegistry::HasLapsed(const ServerId& server) const -> bool {
+  const auto found = this->drives.find(server);
+  return found != this->drives.end() && found->second.lapsed;
+}
+
 auto DriveRegistry::Drives(const ServerId& server) const -> bool {
   return this->drives.count(server) != 0;
 }
--- a/src/ownership/drive_registry.h
+++ b/src/ownership/drive_registry.h
@@ -52,6 +52,8 @@
   auto BeginWork(const ServerId& server, SlotIndex slot) -> void;
   auto EndWork(const ServerId& server, SlotIndex slot) -> void;
 
+  /// @return true if the server is driven here and was found to be lost.
+  [[nodiscard]] auto HasLapsed(const ServerId& server) const -> bool;
   [[nodiscard]] auto Drives(const ServerId& server) const -> bool;
   [[nodiscard]] auto Reports() const -> std::vector<DriveReport>;
 
--- a/src/ownership/drive_table.cc
+++ b/src/ownership/drive_table.cc
@@ -27,6 +27,7 @@
   this->gateways.clear();
   this->retry_at.clear();
   this->lost_servers.clear();
+  this->lost_gateways.clear();
   this->SetGateways(std::move(gateways));
 }
 
@@ -115,6 +116,7 @@
     const bool let_go =
         drive.gateway == report.gateway && drive.releasing_since.has_value() &&
         report.echo > *drive.releasing_since && held.count(it->first) == 0;
+    if (let_go) this->lost_gateways.erase(it->first);
     it = let_go ? this->drives.erase(it) : std::next(it);
     this->released = this->released || let_go;
   }
@@ -189,6 +191,7 @@
     }
     // Either way no grant is in force any more: the gateway's lease bounds
     // the grants that it gave.
+    if (lost) this->lost_gateways[it->first] = drive.gateway;
     if (drive.lapsed) {
       this->lost_servers.insert(it->first);
       this->retry_at[it->first] = now + kRetryLapsed;
@@ -248,6 +251,11 @@
   return this->lost_servers.count(server) != 0;
 }
 
+auto DriveTable::LostGateway(const ServerId& server) const -> HostId {
+  const auto found = this->lost_gateways.find(server);
+  return found == this->lost_gateways.end() ? HostId() : found->second;
+}
+
 auto DriveTable::IsHealthy(const ServerId& server) const -> bool {
   const auto* drive = this->Find(server);
   return drive != nullptr && drive->healthy && !drive->lapsed;
--- a/src/ownership/drive_table.h
+++ b/src/ownership/drive_table.h
@@ -53,6 +53,8 @@
   /// @return true if the server has been healthy for the settling time, or
   /// was so when the term started.
   [[nodiscard]] auto IsSettled(const ServerId& server) const -> bool;
+  /// @return the gateway whose loss made another drive the server, if any.
+  [[nodiscard]] auto LostGateway(const ServerId& server) const -> HostId;
   [[nodiscard]] auto IsHealthy(const ServerId& server) const -> bool;
   [[nodiscard]] auto IsAlive(const HostId& gateway) const -> bool;
   /// @return true while some gateway may hold drives that are not known of.
@@ -89,6 +91,7 @@
   bool released = false;
   TimePoint next_evening;
   std::set<ServerId> lost_servers;
+  std::map<ServerId, HostId> lost_gateways;
 };
 
 }  // namespace currantbeam
--- a/src/ownership/placer.cc
+++ b/src/ownership/placer.cc
@@ -528,6 +528,7 @@
     nlohmann::json row = server;
     const auto gateway = drive == nullptr ? HostId() : drive->gateway;
     row["gateway"] = gateway;
+    row["lost_gateway"] = this->drives.LostGateway(id);
     row["hop"] = hops[gateway];
     rows.push_back(row);
   }
--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -37,6 +37,7 @@
       RouteTarget target;
       row.get_to(target.server);
       row.at("gateway").get_to(target.gateway);
+      row.at("lost_gateway").get_to(target.lost_gateway);
       row.at("hop").get_to(target.hop);
       const auto id = target.server.id;
       table->targets[id] = std::move(target);
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -18,6 +18,8 @@
 struct RouteTarget {
   BackendServer server;
   HostId gateway;  ///< The gateway that drives the server; empty if none.
+  /// The gateway that drove it before, if that one was lost.
+  HostId lost_gateway;
   Endpoint hop;    ///< Where that gateway takes requests of other gateways.
 };
 
--- a/src/servers/backend_client.h
+++ b/src/servers/backend_client.h
@@ -37,6 +37,8 @@
   /// Asked right before the first byte leaves.
   /// @return the token to send along, or nothing if the request must not go.
   std::function<std::optional<FencingToken>()> authorize;
+  /// Asked while the request is out; true breaks it off.
+  std::function<bool()> is_server_lost;
 };
 
 /// Talks to backend servers. Call from a fiber.
--- a/src/servers/http_backend_client.cc
+++ b/src/servers/http_backend_client.cc
@@ -14,10 +14,15 @@
  public:
   HttpBackendCall(const BackendServer& server,
                   std::unique_ptr<HttpConnection> connection,
+                  std::unique_ptr<CallWatch> watch,
                   const http::response_header<>& head)
-      : server(server), connection(std::move(connection)), head(head) {}
+      : server(server),
+        connection(std::move(connection)),
+        watch(std::move(watch)),
+        head(head) {}
 
   ~HttpBackendCall() override {
+    this->watch.reset();
     ConnectionPool::Current().Give(this->server.endpoint.address,
                                    this->server.endpoint.port,
                                    std::move(this->connection));
@@ -60,6 +65,7 @@
  private:
   const BackendServer& server;
   std::unique_ptr<HttpConnection> connection;
+  std::unique_ptr<CallWatch> watch;
   http::response_header<> head;
 };
 
@@ -155,8 +161,11 @@
                                              std::to_string(request.slot));
   }
   const auto outgoing = MakeOutgoing(server, request, *token);
+  auto watch =
+      std::make_unique<CallWatch>(*connection, request.is_server_lost);
   const auto head = connection->Exchange(outgoing, request.deadline);
-  return std::make_unique<HttpBackendCall>(server, std::move(connection), head);
+  return std::make_unique<HttpBackendCall>(server, std::move(connection),
+                                           std::move(watch), head);
 }
 
 }  // namespace currantbeam
