Plan on events instead of on every tick

Cause: the active placer walked all slots of its domain 200 times a second. Plans are now made when a report, a table answer or a mark changed something, and every 100 ms for what depends on time alone; control loops tick every 20 ms and act at once on messages.

--- a/scripts/recovery.py
+++ b/scripts/recovery.py
@@ -52,7 +52,7 @@
         time.sleep(1)
     load = subprocess.Popen([str(deployment.program("currantbeam-load")), "--scenario", scenario, "--out", str(out),
                              "--workers", "1", *targets], stdout=subprocess.DEVNULL)
-    time.sleep(2)
+    time.sleep(1)
     undo = inject(deployment, case, turn)
     load.wait(timeout=120)
     undo()
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -7,7 +7,7 @@
 namespace currantbeam {
 namespace {
 
-constexpr auto kTick = std::chrono::milliseconds(5);
+constexpr auto kTick = std::chrono::milliseconds(20);
 constexpr auto kGrantTimeout = std::chrono::milliseconds(150);
 constexpr auto kObservations = std::chrono::milliseconds(1000);
 
--- a/src/ownership/drive_table.cc
+++ b/src/ownership/drive_table.cc
@@ -51,12 +51,18 @@
   }
 }
 
-auto DriveTable::OnReport(const Report& report, std::uint64_t session) -> void {
+auto DriveTable::OnReport(const Report& report, std::uint64_t session)
+    -> bool {
+  bool changed = false;
   auto& gateway = this->gateways[report.gateway];
-  if (!gateway.reported) this->Adopt(report);
+  if (!gateway.reported) {
+    this->Adopt(report);
+    changed = true;
+  }
   if (gateway.reported && gateway.incarnation != report.incarnation) {
     // A restarted gateway drives nothing, but the lease of its last run has
     // to pass.
+    changed = true;
     const auto lease_end = this->LeaseEnd(report.gateway);
     for (auto& [server, drive] : this->drives) {
       if (drive.gateway != report.gateway) continue;
@@ -77,11 +83,14 @@
     if (row.healthy && !drive.healthy && drive.healthy_since == TimePoint()) {
       drive.healthy_since = this->clock.Now();
     }
+    changed = changed || drive.healthy != row.healthy ||
+              (row.lapsed && !drive.lapsed) || drive.aligned != row.aligned;
     drive.healthy = row.healthy;
     if (row.healthy) this->lost_servers.erase(row.server);
     drive.lapsed = drive.lapsed || row.lapsed;
     if (report.session == session) drive.aligned = row.aligned;
   }
+  return changed;
 }
 
 auto DriveTable::LeaseEnd(const HostId& gateway) const -> TimePoint {
--- a/src/ownership/drive_table.h
+++ b/src/ownership/drive_table.h
@@ -37,7 +37,8 @@
   auto Start(Term term, std::set<HostId> gateways) -> void;
   auto SetGateways(std::set<HostId> gateways) -> void;
   /// @param session  reports to another session do not count as alignment.
-  auto OnReport(const Report& report, std::uint64_t session) -> void;
+  /// @return true if a server's state changed.
+  auto OnReport(const Report& report, std::uint64_t session) -> bool;
   /// Lets go of drives whose gateway is lost, and orders new ones.
   /// @param servers  the servers that are to be driven.
   /// @return true if orders changed.
--- a/src/ownership/placer.cc
+++ b/src/ownership/placer.cc
@@ -7,6 +7,8 @@
 
 constexpr auto kTableRetry = std::chrono::milliseconds(200);
 constexpr auto kRebalanceInterval = std::chrono::milliseconds(2000);
+/// Plans are also made anew now and then, for what depends on time alone.
+constexpr auto kPlanInterval = std::chrono::milliseconds(100);
 constexpr auto kConfigLease = std::chrono::milliseconds(3000);
 constexpr double kLoadSmoothing = 0.2;
 constexpr int kDeputies = 3;
@@ -53,6 +55,7 @@
   this->election.SetGateways(staying, rank);
   this->drives.SetGateways(this->gateway_hosts);
   this->drivers_changed = true;
+  this->plan_now = true;
 }
 
 auto Placer::SetConfiguration(const PlacerConfiguration& configuration)
@@ -79,7 +82,10 @@
   }
   this->election.OnReport(report);
   const bool follows = report.bound_to == this->self;
-  if (this->active && follows) this->drives.OnReport(report, this->session);
+  if (this->active && follows &&
+      this->drives.OnReport(report, this->session)) {
+    this->plan_now = true;
+  }
   for (const auto& load : report.loads) {
     const auto name = Segment{load.service, this->domain, {}, {}}.Name();
     const auto found = this->segments.find(name);
@@ -112,9 +118,15 @@
   if (this->drives.Update(this->servers)) {
     this->drivers_changed = true;
     this->beat_now = true;
+    this->plan_now = true;
+  }
+  if (this->plan_now || this->clock.Now() >= this->next_plan) {
+    this->plan_now = false;
+    this->next_plan = this->clock.Now() + kPlanInterval;
+    this->CreateMissingSegments();
+    for (auto& [name, state] : this->segments) this->Plan(state);
+    this->proposals_due = true;
   }
-  this->CreateMissingSegments();
-  for (auto& [name, state] : this->segments) this->Plan(state);
   this->PublishChanges();
 }
 
@@ -369,6 +381,8 @@
     return std::nullopt;
   }
   if (this->clock.Now() < this->next_retry) return std::nullopt;
+  if (!this->proposals_due) return std::nullopt;
+  this->proposals_due = false;
   Pending next;
   next.request.kind = TableRequest::Kind::kCommitSegments;
   auto& transaction = next.request.transaction;
@@ -475,6 +489,7 @@
 auto Placer::OnTableCommit(const TableRequest& request, CommitOutcome outcome)
     -> void {
   this->request_out = false;
+  this->plan_now = true;
   if (request.kind == TableRequest::Kind::kCommitTerm) {
     this->election.OnCommit(outcome);
     this->beat_now = true;
--- a/src/ownership/placer.h
+++ b/src/ownership/placer.h
@@ -176,6 +176,9 @@
   std::uint64_t sequence = 0;
   std::map<std::string, SegmentState> segments;
   bool drivers_changed = false;
+  bool proposals_due = false;  ///< Plans were made since the last proposal.
+  bool plan_now = true;  ///< Something that plans depend on has changed.
+  TimePoint next_plan;
   nlohmann::json published_drivers;
   std::optional<Pending> pending;
   bool request_out = false;
--- a/src/placer/placer_process.cc
+++ b/src/placer/placer_process.cc
@@ -11,7 +11,7 @@
 namespace currantbeam {
 namespace {
 
-constexpr auto kTick = std::chrono::milliseconds(5);
+constexpr auto kTick = std::chrono::milliseconds(20);
 constexpr auto kPollInterval = std::chrono::milliseconds(500);
 constexpr auto kAckInterval = std::chrono::milliseconds(100);
 constexpr auto kFlushInterval = std::chrono::milliseconds(1000);
@@ -101,8 +101,17 @@
     this->account_store.Update(report.gateway, report.incarnation,
                                report.account.get<Account>());
   }
+  this->Advance();
+}
+
+auto PlacerProcess::Advance() -> void {
   this->placer.Tick();
   this->SendBeats();
+  while (auto request = this->placer.TakeTableRequest()) {
+    this->loop.Spawn(
+        [this, request = *request] { this->RunTableRequest(request); });
+  }
+  this->LogDecisions();
 }
 
 auto PlacerProcess::SendBeats() -> void {
@@ -194,7 +203,7 @@
     }
     this->placer.OnTableCommit(request, outcome);
   }
-  this->SendBeats();
+  this->Advance();
 }
 
 auto PlacerProcess::LogDecisions() -> void {
@@ -218,14 +227,8 @@
 
 auto PlacerProcess::TickLoop() -> void {
   while (!this->stopped) {
-    this->placer.Tick();
-    this->SendBeats();
+    this->Advance();
     this->SendDocuments();
-    while (auto request = this->placer.TakeTableRequest()) {
-      this->loop.Spawn(
-          [this, request = *request] { this->RunTableRequest(request); });
-    }
-    this->LogDecisions();
     SleepFor(kTick);
   }
 }
--- a/src/placer/placer_process.h
+++ b/src/placer/placer_process.h
@@ -64,6 +64,7 @@
       -> std::optional<nlohmann::json>;
   auto OnPlacerAck(const nlohmann::json& message) -> void;
   auto TickLoop() -> void;
+  auto Advance() -> void;
   auto SendBeats() -> void;
   auto SendDocuments() -> void;
   auto RunTableRequest(const TableRequest& request) -> void;
