Unwind waiting fibers when their loop ends; contract and unit tests

Cause: a loop's thread never ended while an idle connection's fiber waited, since Boost.Fiber joins all fibers at the end of the thread; a gateway with a kept-alive caller could not have stopped. Found by the contract tests, which hung.

--- a/src/runtime/fiber_loop.cc
+++ b/src/runtime/fiber_loop.cc
@@ -53,8 +53,15 @@
 }
 
 auto Launch(std::function<void()> body) -> void {
+  auto run = [body = std::move(body)] {
+    try {
+      body();
+    } catch (const LoopStopped&) {
+      // The fiber has unwound.
+    }
+  };
   boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                       StackPool(), std::move(body))
+                       StackPool(), std::move(run))
       .detach();
 }
 
@@ -71,6 +78,13 @@
       this->io.run_one();
     }
   }
+  // No handler runs from here on; fibers that still wait unwind.
+  Wakeup::StopAll();
+  while (boost::fibers::has_ready_fibers()) {
+    boost::this_fiber::yield();
+    Wakeup::StopAll();
+  }
+  Wakeup::Restart();
   CurrentLoop() = nullptr;
 }
 
--- /dev/null
+++ b/tests/config/config_test.cc
@@ -0,0 +1,128 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include "config/config.h"
+
+namespace currantbeam {
+namespace {
+
+const char* const kGood = R"(deployment = "d"
+failure_domains = ["x", "y"]
+[[service]]
+name = "s"
+path_prefix = "/s/"
+key_from = "path"
+slots = 10
+[[class]]
+name = "c"
+service = "s"
+)";
+
+auto Replaced(const std::string& from, const std::string& to) -> std::string {
+  std::string text = kGood;
+  const auto place = text.find(from);
+  EXPECT_NE(place, std::string::npos);
+  return text.replace(place, from.size(), to);
+}
+
+struct BadInput {
+  std::string name;
+  std::string from;
+  std::string to;
+  std::string message;
+};
+
+class BadConfiguration : public testing::TestWithParam<BadInput> {};
+
+TEST_P(BadConfiguration, IsRefusedWithFileLineAndField) {
+  const auto& bad = GetParam();
+  try {
+    Configuration::FromToml(Replaced(bad.from, bad.to), "f.toml");
+    FAIL() << "was taken";
+  } catch (const InputError& error) {
+    EXPECT_NE(std::string(error.what()).find(bad.message), std::string::npos)
+        << error.what();
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, BadConfiguration,
+    testing::Values(
+        BadInput{"NotToml", "slots = 10", "slots = ", "f.toml:7"},
+        BadInput{"UnknownField", "slots = 10", "slots = 10\nslot = 1",
+                 "f.toml:8: field 'service[0].slot': is not known"},
+        BadInput{"OutOfRange", "slots = 10", "slots = 0",
+                 "f.toml:7: field 'service[0].slots': 0 is not within"},
+        BadInput{"WrongType", "slots = 10", "slots = \"ten\"",
+                 "f.toml:7: field 'service[0].slots': must be an integer"},
+        BadInput{"UnknownService", "service = \"s\"", "service = \"t\"",
+                 "field 'class[0].service': 't' is not a service"},
+        BadInput{"MissingField", "name = \"s\"\n", "",
+                 "field 'service[0].name': is missing"},
+        BadInput{"NoDomain", "[\"x\", \"y\"]", "[]",
+                 "needs at least one failure domain"},
+        BadInput{"BadPrefix", "\"/s/\"", "\"s/\"", "must start with '/'"},
+        BadInput{"BadKeySource", "key_from = \"path\"", "key_from = \"body\"",
+                 "none of path, header, query"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(Configuration, ComesBackFromJsonAsItWas) {
+  const auto configuration = Configuration::FromToml(kGood, "f.toml");
+  const nlohmann::json json = configuration;
+  const nlohmann::json again = json.get<Configuration>();
+  EXPECT_EQ(json, again);
+  EXPECT_TRUE(
+      Describe(configuration, json.get<Configuration>()).empty());
+}
+
+TEST(Configuration, DescribesWhatChanged) {
+  const auto before = Configuration::FromToml(kGood, "f.toml");
+  auto after = before;
+  after.version = 9;
+  after.leaving.insert("h");
+  const auto lines = Describe(before, after);
+  ASSERT_EQ(lines.size(), 1U);
+  EXPECT_NE(lines[0].find("/leaving"), std::string::npos);
+}
+
+TEST(Configuration, EverySlotHasOneHome) {
+  const auto configuration = Configuration::FromToml(kGood, "f.toml");
+  const auto& service = configuration.services[0];
+  EXPECT_EQ(configuration.SlotsOf(service, FailureDomain("x")).size() +
+                configuration.SlotsOf(service, FailureDomain("y")).size(),
+            service.slots);
+}
+
+TEST(Settings, ExamplesAreGood) {
+  const std::string examples =
+      std::string(CURRANTBEAM_SOURCE_DIR) + "/examples/";
+  EXPECT_NO_THROW(GatewaySettings::FromFile(examples + "gateway.toml"));
+  EXPECT_NO_THROW(PlacerSettings::FromFile(examples + "placer.toml"));
+  for (const auto* name : {"saphir-pointe.toml", "ban-suan-kai.toml"}) {
+    std::ifstream file(examples + name);
+    const std::string text((std::istreambuf_iterator<char>(file)), {});
+    EXPECT_NO_THROW(Configuration::FromToml(text, name));
+  }
+}
+
+TEST(Settings, BadOnesNameTheField) {
+  const std::string path = testing::TempDir() + "bad-gateway.toml";
+  std::ofstream(path) << "host = \"h\"\nfailure_domain = \"d\"\n[listen]\n"
+                         "address = \"localhost\"\ncallers = 1\n";
+  try {
+    GatewaySettings::FromFile(path);
+    FAIL() << "was taken";
+  } catch (const InputError& error) {
+    EXPECT_NE(std::string(error.what()).find(
+                  ":4: field 'listen.address': 'localhost' is not an IP"),
+              std::string::npos)
+        << error.what();
+  }
+  std::remove(path.c_str());
+}
+
+}  // namespace
+}  // namespace currantbeam
--- /dev/null
+++ b/tests/servers/request_path_test.cc
@@ -0,0 +1,390 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "fiber_test.h"
+#include "gateway/caller_handler.h"
+#include "gateway/gateway_state.h"
+#include "servers/servers.h"
+#include "standins/server/server_handler.h"
+
+namespace currantbeam {
+namespace {
+
+constexpr std::uint16_t kServerPort = 27201;
+constexpr std::uint16_t kCallerPort = 27202;
+constexpr auto kTimeout = std::chrono::milliseconds(5000);
+
+const char* const kConfiguration = R"(deployment = "d"
+failure_domains = ["x"]
+[[service]]
+name = "s"
+path_prefix = "/s/"
+key_from = "path"
+slots = 4
+[[class]]
+name = "read"
+service = "s"
+method = "GET"
+idempotent = true
+deadline_ms = 1500
+[[class]]
+name = "order"
+service = "s"
+method = "POST"
+deadline_ms = 1500
+)";
+
+/// One gateway and one stand-in server in this process. The gateway follows
+/// beats that the test makes up, so that no placer is needed.
+class RequestPath : public testing::Test {
+ protected:
+  RequestPath() {
+    this->settings.host = HostId("h");
+    this->settings.domain = FailureDomain("x");
+    this->state = std::make_unique<GatewayState>(this->settings, this->timing,
+                                                 this->clock);
+    this->driver = std::make_unique<Driver>(*this->state, this->client);
+    this->handler = std::make_unique<CallerHandler>(*this->state,
+                                                    *this->driver);
+    this->behaviour.work = std::chrono::microseconds(500);
+  }
+
+  auto Run(const std::function<void()>& body) -> void {
+    FiberLoop loop;
+    this->server = std::make_unique<ServerHandler>(this->behaviour, 77);
+    HttpServer server_port(LocalOptions(kServerPort), *this->server);
+    auto options = LocalOptions(kCallerPort);
+    options.limits.body_bytes = 1024;
+    HttpServer caller_port(options, *this->handler);
+    server_port.Listen(loop);
+    caller_port.Listen(loop);
+    RunInFiber(loop, [&] {
+      this->BecomeDriver();
+      body();
+      caller_port.StopAccepting();
+      server_port.StopAccepting();
+    });
+  }
+
+  auto MakeBeat() -> Beat {
+    Beat beat;
+    beat.placer = HostId("p");
+    beat.session = 1;
+    beat.term = {1, 0};
+    beat.leading = beat.active = true;
+    beat.incarnation = this->incarnation;
+    beat.clock = beat.echo = ToMicros(this->clock.Now());
+    return beat;
+  }
+
+  auto MakeDocuments() -> std::vector<Document> {
+    auto configuration = Configuration::FromToml(kConfiguration, "f");
+    configuration.version = 1;
+    BackendServer backend;
+    backend.id = ServerId("b");
+    backend.service = ServiceName("s");
+    backend.domain = this->settings.domain;
+    backend.endpoint = {"127.0.0.1", kServerPort};
+    backend.slots = 4;
+    nlohmann::json row = backend;
+    row["gateway"] = this->settings.host;
+    row["lost_gateway"] = "";
+    row["hop"] = Endpoint{"127.0.0.1", 1};
+    Segment segment{backend.service, backend.domain, {}, {}};
+    for (SlotIndex slot = 0; slot < 4; ++slot) {
+      segment.slots[slot] = {backend.id, 1, {}, false};
+    }
+    return {{"config", {{}, 1}, configuration},
+            {"drivers/x", {{1, 0}, 1}, nlohmann::json::array({row})},
+            {segment.Name(), {{1, 0}, 1}, segment}};
+  }
+
+  auto BecomeDriver() -> void {
+    SleepFor(this->timing.leader_lease + 2 * this->timing.drift_allowance);
+    this->incarnation = this->state->WithAgent([&](GatewayAgent& agent) {
+      return agent.OnBeat(this->MakeBeat()).incarnation;
+    });
+    auto beat = this->MakeBeat();
+    beat.documents = this->MakeDocuments();
+    beat.cursor = 3;
+    beat.orders.push_back({ServerId("b"), 1});
+    this->state->WithAgent(
+        [&](GatewayAgent& agent) { return agent.OnBeat(beat); });
+    const auto documents = this->state->WithAgent(
+        [](GatewayAgent& agent) { return agent.Documents(); });
+    auto configuration = std::make_shared<Configuration>(
+        documents.Find("config")->body.get<Configuration>());
+    this->driver->SetConfiguration(*configuration);
+    this->state->SetView(
+        {configuration,
+         RoutingTable::Build(documents, {{ServiceName("s"), 4}})});
+    this->RenewGrants();
+    FiberLoop::Current().Spawn([this, beat]() mutable {
+      for (int i = 0; i < 100; ++i) {
+        beat.clock = beat.echo = ToMicros(this->clock.Now());
+        this->state->WithAgent(
+            [&](GatewayAgent& agent) { return agent.OnBeat(beat); });
+        this->RenewGrants();
+        SleepFor(std::chrono::milliseconds(50));
+      }
+    });
+  }
+
+  auto RenewGrants() -> void {
+    for (int i = 0; i < 2; ++i) {
+      const auto due = this->state->WithAgent(
+          [](GatewayAgent& agent) { return agent.Drives().DueGrants(); });
+      for (const auto& attempt : due) {
+        BackendServer backend;
+        backend.endpoint = {"127.0.0.1", kServerPort};
+        const auto answer =
+            this->client.SendGrant(backend, attempt.grant, kTimeout);
+        this->state->WithAgent([&](GatewayAgent& agent) {
+          agent.Drives().Confirm(attempt, answer);
+        });
+      }
+    }
+  }
+
+  static auto Ask(http::verb method, const std::string& id,
+                  const std::string& idempotency = "",
+                  const std::string& target = "/s/k") -> HttpResponse {
+    HttpRequest request{method, target, 11};
+    request.set("x-request-id", id);
+    if (!idempotency.empty()) request.set("idempotency-key", idempotency);
+    return Fetch("127.0.0.1", kCallerPort, std::move(request), kTimeout);
+  }
+
+  static auto RunsOf(const std::string& id) -> int {
+    const auto report =
+        Fetch("127.0.0.1", kServerPort,
+              HttpRequest{http::verb::get, "/standin/report", 11}, kTimeout);
+    const auto runs = nlohmann::json::parse(report.body()).at("runs_by_id");
+    return runs.value(id, 0);
+  }
+
+  static auto Behave(const nlohmann::json& change) -> void {
+    HttpRequest request{http::verb::post, "/standin/behaviour", 11};
+    request.body() = change.dump();
+    Fetch("127.0.0.1", kServerPort, std::move(request), kTimeout);
+  }
+
+  static auto VerdictOf(const HttpResponse& response) -> std::string {
+    return std::string(response[kVerdictHeader]);
+  }
+
+  SteadyClock clock;
+  LeaseTiming timing;
+  GatewaySettings settings;
+  HttpBackendClient client;
+  ServerBehaviour behaviour;
+  std::uint64_t incarnation = 0;
+  std::unique_ptr<ServerHandler> server;
+  std::unique_ptr<GatewayState> state;
+  std::unique_ptr<Driver> driver;
+  std::unique_ptr<CallerHandler> handler;
+};
+
+TEST_F(RequestPath, WholeAnswerComesBackWithItsVerdict) {
+  this->Run([] {
+    const auto answer = Ask(http::verb::get, "1");
+    EXPECT_EQ(answer.result(), http::status::ok);
+    EXPECT_EQ(answer.body().size(), 200U);
+    EXPECT_EQ(VerdictOf(answer), "ran");
+    EXPECT_EQ(RunsOf("1"), 1);
+  });
+}
+
+TEST_F(RequestPath, LostAnswerOfAnOrderIsNotSentAgain) {
+  this->Run([] {
+    Behave({{"lose_answers", true}});
+    const auto answer = Ask(http::verb::post, "1");
+    EXPECT_EQ(answer.result(), http::status::bad_gateway);
+    EXPECT_EQ(VerdictOf(answer), "may-have-run");
+    EXPECT_EQ(RunsOf("1"), 1);
+  });
+}
+
+TEST_F(RequestPath, LostAnswerOfAReadIsTriedAgainWithinBounds) {
+  this->Run([] {
+    Behave({{"lose_answers", true}});
+    const auto answer = Ask(http::verb::get, "1");
+    EXPECT_EQ(VerdictOf(answer), "may-have-run");
+    EXPECT_GE(RunsOf("1"), 2);
+    EXPECT_LE(RunsOf("1"), 4);
+  });
+}
+
+TEST_F(RequestPath, CutAnswerNeverEndsCleanly) {
+  for (const std::uint64_t bytes : {1000, 1'000'000}) {
+    this->Run([bytes] {
+      Behave({{"truncate", true}, {"answer_bytes", bytes}});
+      try {
+        const auto answer = Ask(http::verb::post, "1");
+        // A cut that shows before the head has gone is told plainly.
+        EXPECT_EQ(answer.result(), http::status::bad_gateway);
+        EXPECT_EQ(VerdictOf(answer), "may-have-run");
+      } catch (const RequestError& error) {
+        EXPECT_EQ(error.GetVerdict(), Verdict::kMayHaveRun);
+      }
+      EXPECT_EQ(RunsOf("1"), 1);
+    });
+  }
+}
+
+TEST_F(RequestPath, RepeatedIdempotencyKeyGetsTheSameAnswer) {
+  this->Run([] {
+    const auto first = Ask(http::verb::post, "1", "key");
+    const auto second = Ask(http::verb::post, "1", "key");
+    EXPECT_EQ(first.result(), http::status::ok);
+    EXPECT_EQ(second.body(), first.body());
+    EXPECT_EQ(second["currantbeam-replayed"], "1");
+    EXPECT_EQ(RunsOf("1"), 1);
+  });
+}
+
+TEST_F(RequestPath, RepeatedKeyOfAnUnknownOutcomeIsAConflict) {
+  this->Run([] {
+    Behave({{"lose_answers", true}});
+    Ask(http::verb::post, "1", "key");
+    Behave({{"lose_answers", false}});
+    const auto again = Ask(http::verb::post, "1", "key");
+    EXPECT_EQ(again.result(), http::status::conflict);
+    EXPECT_EQ(VerdictOf(again), "may-have-run");
+    EXPECT_EQ(RunsOf("1"), 1);
+  });
+}
+
+TEST_F(RequestPath, ShedRequestIsNotRunAndSaysSo) {
+  this->behaviour.slots = 0;
+  this->Run([] {
+    Behave({{"queue_limit", 0}});
+    const auto answer = Ask(http::verb::post, "1");
+    EXPECT_EQ(answer.result(), http::status::service_unavailable);
+    EXPECT_EQ(VerdictOf(answer), "not-run");
+    EXPECT_EQ(RunsOf("1"), 0);
+  });
+}
+
+TEST_F(RequestPath, RequestWithoutAGrantIsNotRun) {
+  this->Run([this] {
+    // Another driver's token fences this gateway off.
+    BackendServer backend;
+    backend.endpoint = {"127.0.0.1", kServerPort};
+    Grant other;
+    other.token = 1000;
+    this->client.SendGrant(backend, other, kTimeout);
+    const auto answer = Ask(http::verb::post, "1");
+    EXPECT_EQ(answer.result(), http::status::service_unavailable);
+    EXPECT_EQ(VerdictOf(answer), "not-run");
+    EXPECT_EQ(RunsOf("1"), 0);
+  });
+}
+
+TEST_F(RequestPath, DeadServerIsNotRun) {
+  this->Run([this] {
+    BackendServer nowhere;
+    nowhere.endpoint = {"127.0.0.1", 1};
+    HttpRequest order{http::verb::post, "/s/k", 11};
+    BackendRequest request;
+    request.request = &order;
+    request.deadline = std::chrono::milliseconds(100);
+    bool asked = false;
+    request.authorize = [&]() -> std::optional<FencingToken> {
+      asked = true;
+      return 1;
+    };
+    try {
+      this->client.Send(nowhere, request);
+      FAIL() << "was sent";
+    } catch (const RequestError& error) {
+      EXPECT_EQ(error.GetVerdict(), Verdict::kNotRun);
+    }
+    EXPECT_FALSE(asked);
+  });
+}
+
+TEST_F(RequestPath, RefusedAuthorizationSendsNothing) {
+  this->Run([this] {
+    BackendServer backend;
+    backend.endpoint = {"127.0.0.1", kServerPort};
+    HttpRequest order{http::verb::post, "/s/k", 11};
+    order.set("x-request-id", "1");
+    BackendRequest request;
+    request.request = &order;
+    request.deadline = kTimeout;
+    request.authorize = []() -> std::optional<FencingToken> {
+      return std::nullopt;
+    };
+    try {
+      this->client.Send(backend, request);
+      FAIL() << "was sent";
+    } catch (const RequestError& error) {
+      EXPECT_EQ(error.GetVerdict(), Verdict::kNotRun);
+    }
+    EXPECT_EQ(RunsOf("1"), 0);
+  });
+}
+
+struct BadRequestCase {
+  std::string name;
+  std::string target;
+  std::size_t header_bytes;
+  std::size_t body_bytes;
+  unsigned status;
+};
+
+class BadRequests : public RequestPath,
+                    public testing::WithParamInterface<BadRequestCase> {};
+
+TEST_P(BadRequests, AreRefusedAndNotRun) {
+  const auto& bad = GetParam();
+  this->Run([&] {
+    HttpRequest request{http::verb::post, bad.target, 11};
+    request.set("x-request-id", "1");
+    if (bad.header_bytes != 0) {
+      request.set("x-filler", std::string(bad.header_bytes, 'x'));
+    }
+    request.body() = std::string(bad.body_bytes, 'x');
+    const auto answer =
+        Fetch("127.0.0.1", kCallerPort, std::move(request), kTimeout);
+    EXPECT_EQ(answer.result_int(), bad.status);
+    EXPECT_EQ(VerdictOf(answer), "not-run");
+    EXPECT_EQ(RunsOf("1"), 0);
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, BadRequests,
+    testing::Values(BadRequestCase{"UnknownService", "/t/k", 0, 0, 400},
+                    BadRequestCase{"MissingKey", "/s/", 0, 0, 400},
+                    BadRequestCase{"LargeHeader", "/s/k", 20'000, 0, 431},
+                    BadRequestCase{"LargeBody", "/s/k", 0, 2000, 413}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(RequestPath, SlowReaderGetsAllOfALargeAnswer) {
+  this->Run([] {
+    constexpr std::uint64_t kBytes = 8'000'000;
+    Behave({{"answer_bytes", kBytes}});
+    HttpConnection connection("127.0.0.1", kCallerPort);
+    connection.Connect(kTimeout);
+    HttpRequest request{http::verb::get, "/s/k", 11};
+    connection.Exchange(request, kTimeout);
+    std::uint64_t received = 0;
+    int parts = 0;
+    while (true) {
+      const auto part = connection.ReadBody(kTimeout);
+      if (part.empty()) break;
+      received += part.size();
+      if (++parts % 20 == 0) SleepFor(std::chrono::milliseconds(5));
+    }
+    EXPECT_EQ(received, kBytes);
+  });
+}
+
+}  // namespace
+}  // namespace currantbeam
