--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -197,7 +197,8 @@
   auto AnswerTable(const TableRequest& request) -> void {
     if (request.kind == TableRequest::Kind::kReadTerm ||
         request.kind == TableRequest::Kind::kReadSegments) {
-      this->placer.OnTableRead(request, this->platform.ReadRows(request.prefix));
+      this->placer.OnTableRead(request,
+                               this->platform.ReadRows(request.prefix));
     } else {
       this->placer.OnTableCommit(request,
                                  this->platform.Commit(request.transaction));
@@ -234,7 +235,8 @@
             const auto wire = EncodeMessage(sent);
             const auto report = agent.OnBeat(DecodeMessage(wire).get<Beat>());
             const auto back = EncodeMessage(report);
-            domain.placer.OnReport(DecodeMessage(back).get<currantbeam::Report>());
+            domain.placer.OnReport(
+                DecodeMessage(back).get<currantbeam::Report>());
           }
         },
         10);
@@ -265,10 +267,12 @@
     beats.push_back({1.0 * servers, 1.0 * EncodeMessage(beat).size()});
     reports.push_back({1.0 * servers, 1.0 * EncodeMessage(report).size()});
     const auto wire = EncodeMessage(beat);
-    agent_time.push_back({1.0 * servers, Micros([&] {
-                            EncodeMessage(report);
-                            DecodeMessage(wire).get<Beat>();
-                          }, 2000)});
+    agent_time.push_back({1.0 * servers, Micros(
+                                             [&] {
+                                               EncodeMessage(report);
+                                               DecodeMessage(wire).get<Beat>();
+                                             },
+                                             2000)});
   }
   Report("beat", "bytes", "servers driven", beats);
   Report("report", "bytes", "servers driven", reports);
@@ -280,7 +284,8 @@
     grant.token = 4'300'000'000ULL;
     grant.expires_at = 1'000'000'000'000;
     for (SlotIndex i = 0; i < slots; ++i) grant.slots.push_back(100'000 + i);
-    grants.push_back({1.0 * slots, 1.0 * nlohmann::json(grant.slots).dump().size() + 120});
+    grants.push_back(
+        {1.0 * slots, 1.0 * nlohmann::json(grant.slots).dump().size() + 120});
   }
   Report("grant, JSON", "bytes", "slots owned by the server", grants);
 }
@@ -304,24 +309,29 @@
     };
     Duration retry{0};
     for (int i = 0; i < queued; ++i) queue.Offer(item(), clock.Now(), retry);
-    offers.push_back({1.0 * queued, Micros([&] {
-                        queue.Offer(item(), clock.Now(), retry);
-                        for (const auto started :
-                             queue.TakeStartable(clock.Now())) {
-                          queue.Finish(started);
-                        }
-                      }, 20'000)});
+    offers.push_back(
+        {1.0 * queued, Micros(
+                           [&] {
+                             queue.Offer(item(), clock.Now(), retry);
+                             for (const auto started :
+                                  queue.TakeStartable(clock.Now())) {
+                               queue.Finish(started);
+                             }
+                           },
+                           20'000)});
   }
-  Report("offer, start and finish in a server's queue", "us", "queued",
-         offers);
+  Report("offer, start and finish in a server's queue", "us", "queued", offers);
   std::vector<Point> sketch_times;
   for (const int capacity : {64, 256, 1024, 4096}) {
     HotKeySketch sketch(static_cast<std::size_t>(capacity));
     std::uint64_t hash = 1;
-    sketch_times.push_back({1.0 * capacity, Micros([&] {
-                              hash = hash * 6364136223846793005ULL + 1;
-                              sketch.Add(hash >> 40);
-                            }, 200'000)});
+    sketch_times.push_back(
+        {1.0 * capacity, Micros(
+                             [&] {
+                               hash = hash * 6364136223846793005ULL + 1;
+                               sketch.Add(hash >> 40);
+                             },
+                             200'000)});
   }
   Report("hot-key sketch, one key", "us", "capacity", sketch_times);
 }
--- a/src/config/toml_reader.cc
+++ b/src/config/toml_reader.cc
@@ -136,7 +136,7 @@
 }
 
 auto TomlReader::Address(const std::string& field) -> std::string {
-  const auto text = this->String(field);
+  auto text = this->String(field);
   boost::system::error_code error;
   boost::asio::ip::make_address(text, error);
   if (error) this->Fail(field, "'" + text + "' is not an IP number");
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -13,8 +13,6 @@
 constexpr LogEvent kPlacerRole{200, LogLevel::kInfo, "placer-role"};
 constexpr LogEvent kSlotAssigned{201, LogLevel::kInfo, "slot-assigned"};
 constexpr LogEvent kDriverOrdered{202, LogLevel::kInfo, "driver-ordered"};
-constexpr LogEvent kHotKeySplit{203, LogLevel::kInfo, "hot-key-split"};
-constexpr LogEvent kHotKeyMerged{204, LogLevel::kInfo, "hot-key-merged"};
 constexpr LogEvent kServerLapsed{205, LogLevel::kWarn, "server-lapsed"};
 constexpr LogEvent kFollowing{206, LogLevel::kInfo, "following-placer"};
 
--- a/src/gateway/caller_handler.cc
+++ b/src/gateway/caller_handler.cc
@@ -128,6 +128,8 @@
         return;
       }
       ++attempt.repeats;
+      Log(events::kRetried, "class=" + job.work.name.Value() + " key=" +
+                                job.key + " reason=\"" + error.what() + "\"");
       this->state.GetMetrics().CountRetry();
       attempt.last_problem = error.what();
     }
--- a/src/gateway/driver.cc
+++ b/src/gateway/driver.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "core/events.h"
 #include "gateway/relay.h"
 #include "runtime/runtime.h"
 
@@ -205,9 +206,8 @@
     });
   };
   request.is_server_lost = [this, id] {
-    return this->state.WithAgent([&](GatewayAgent& agent) {
-      return agent.Drives().HasLapsed(id);
-    });
+    return this->state.WithAgent(
+        [&](GatewayAgent& agent) { return agent.Drives().HasLapsed(id); });
   };
   const auto end_work = [&] {
     if (!working) return;
@@ -311,6 +311,8 @@
           this->memory.Begin(job.idempotency_key, this->state.GetClock().Now());
     }
     if (found.state != IdempotencyMemory::State::kNew) {
+      Log(events::kReplayed, "class=" + job.work.name.Value() +
+                                 " idempotency_key=" + job.idempotency_key);
       SendRemembered(exchange, found);
       return;
     }
--- a/src/gateway/hop.cc
+++ b/src/gateway/hop.cc
@@ -39,8 +39,7 @@
 auto IsGatewayLost(const GatewayState& state, const ServerId& server,
                    const HostId& gateway) -> bool {
   const auto view = state.CurrentView();
-  const auto* target =
-      view.routes ? view.routes->FindTarget(server) : nullptr;
+  const auto* target = view.routes ? view.routes->FindTarget(server) : nullptr;
   return target != nullptr && target->lost_gateway == gateway &&
          target->gateway != gateway;
 }
@@ -80,8 +79,8 @@
   // The driving gateway keeps the deadline; the margin lets it say so.
   constexpr auto kMargin = std::chrono::milliseconds(100);
   auto watch = std::make_unique<CallWatch>(
-      *connection, [&state, server = target.server.id,
-                    gateway = target.gateway] {
+      *connection,
+      [&state, server = target.server.id, gateway = target.gateway] {
         return IsGatewayLost(state, server, gateway);
       });
   const auto head =
--- a/src/load/load_runner.cc
+++ b/src/load/load_runner.cc
@@ -39,8 +39,8 @@
       const auto due = this->start + arrival.at;
       const auto now = std::chrono::steady_clock::now();
       if (due > now) {
-        SleepFor(std::chrono::duration_cast<std::chrono::microseconds>(due -
-                                                                       now));
+        SleepFor(
+            std::chrono::duration_cast<std::chrono::microseconds>(due - now));
       }
       ++this->pending;
       this->loop.Spawn([this, &arrival] {
@@ -56,13 +56,12 @@
   auto MakeRequest(const LoadStream& stream, const Arrival& arrival)
       -> HttpRequest {
     const auto key = stream.name + "-" + std::to_string(arrival.key);
-    HttpRequest request{http::string_to_verb(stream.method),
-                        stream.path + key, 11};
+    HttpRequest request{http::string_to_verb(stream.method), stream.path + key,
+                        11};
     request.set("x-neighbour", stream.neighbour);
     auto work = static_cast<double>(stream.work.count());
     if (arrival.is_long) work *= stream.straggler_factor;
-    request.set("x-work-us",
-                std::to_string(static_cast<std::int64_t>(work)));
+    request.set("x-work-us", std::to_string(static_cast<std::int64_t>(work)));
     request.set("x-answer-bytes", std::to_string(stream.answer_bytes));
     return request;
   }
@@ -70,8 +69,8 @@
   auto PickTarget(const Arrival& arrival) -> const Endpoint& {
     const auto& targets = this->options.targets;
     if (!this->options.by_hash) return targets[this->next++ % targets.size()];
-    const auto hash = XXH3_64bits_withSeed(&arrival.key, sizeof(arrival.key),
-                                           arrival.stream);
+    const auto hash =
+        XXH3_64bits_withSeed(&arrival.key, sizeof(arrival.key), arrival.stream);
     return targets[hash % targets.size()];
   }
 
@@ -96,9 +95,8 @@
     this->Note(arrival, &StreamResult::sent);
     const auto& target = this->PickTarget(arrival);
     try {
-      const auto response =
-          Fetch(target.address, target.port,
-                this->MakeRequest(stream, arrival), kTimeout);
+      const auto response = Fetch(target.address, target.port,
+                                  this->MakeRequest(stream, arrival), kTimeout);
       this->NoteAnswer(stream, arrival, response);
     } catch (const RequestError& error) {
       const bool not_run = error.GetVerdict() == Verdict::kNotRun;
--- a/src/load/result.cc
+++ b/src/load/result.cc
@@ -55,8 +55,7 @@
           Axis(kBins, kLeastMicros, kMostMicros))) {}
 
 auto Latencies::Add(Duration latency) -> void {
-  this->histogram(
-      std::max(static_cast<double>(latency.count()), kLeastMicros));
+  this->histogram(std::max(static_cast<double>(latency.count()), kLeastMicros));
   ++this->count;
   this->max = std::max(this->max, latency);
 }
@@ -74,8 +73,8 @@
   for (int bin = 0; bin < kBins; ++bin) {
     seen += this->histogram.at(bin);
     if (seen < wanted) continue;
-    const auto upper = Duration(static_cast<std::int64_t>(
-        this->histogram.axis().bin(bin).upper()));
+    const auto upper = Duration(
+        static_cast<std::int64_t>(this->histogram.axis().bin(bin).upper()));
     return std::min(upper, this->max);
   }
   return this->max;
@@ -124,9 +123,9 @@
   out << std::fixed << std::setprecision(1);
   for (const auto& [name, stream] : result.streams) {
     const auto& latency = stream.latency;
-    out << name << ": sent " << stream.sent << ", answered "
-        << stream.answered << ", refused " << stream.refused << ", failed "
-        << stream.failed << ", broken " << stream.broken << "\n  p50 "
+    out << name << ": sent " << stream.sent << ", answered " << stream.answered
+        << ", refused " << stream.refused << ", failed " << stream.failed
+        << ", broken " << stream.broken << "\n  p50 "
         << Millis(latency.Quantile(0.5)) << " p90 "
         << Millis(latency.Quantile(0.9)) << " p99 "
         << Millis(latency.Quantile(0.99)) << " p99.9 "
--- a/src/load/result.h
+++ b/src/load/result.h
@@ -24,8 +24,9 @@
   [[nodiscard]] auto Count() const -> std::uint64_t { return this->count; }
 
  private:
-  using Axis = boost::histogram::axis::regular<
-      double, boost::histogram::axis::transform::log>;
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
   boost::histogram::histogram<std::tuple<Axis>> histogram;
   std::uint64_t count = 0;
   Duration max{0};
--- a/src/load/scenario.cc
+++ b/src/load/scenario.cc
@@ -37,8 +37,8 @@
   stream.straggler_factor = reader.Number("straggler_factor", 1, 10'000, 100);
   stream.crest_at = reader.Milliseconds("crest_at_ms", milliseconds(0),
                                         kMaxDuration, milliseconds(0));
-  stream.crest_length = reader.Milliseconds(
-      "crest_length_ms", milliseconds(0), kMaxDuration, milliseconds(0));
+  stream.crest_length = reader.Milliseconds("crest_length_ms", milliseconds(0),
+                                            kMaxDuration, milliseconds(0));
   stream.crest_factor = reader.Number("crest_factor", 1, 1000, 1);
   stream.shift_at = reader.Milliseconds("shift_at_ms", milliseconds(0),
                                         kMaxDuration, milliseconds(0));
@@ -66,9 +66,8 @@
       return any(random);
     }
     std::uniform_real_distribution<double> point(0, this->cumulative.back());
-    const auto found =
-        std::lower_bound(this->cumulative.begin(), this->cumulative.end(),
-                         point(random));
+    const auto found = std::lower_bound(this->cumulative.begin(),
+                                        this->cumulative.end(), point(random));
     return static_cast<std::uint64_t>(found - this->cumulative.begin());
   }
 
@@ -117,8 +116,7 @@
     std::mt19937_64 random(scenario.seed * 1000 + i);
     std::exponential_distribution<double> gap(1);
     KeyChooser chooser(stream);
-    const auto shift =
-        std::chrono::duration<double>(stream.shift_at).count();
+    const auto shift = std::chrono::duration<double>(stream.shift_at).count();
     double now = 0;
     while (true) {
       now += gap(random) / RateAt(stream, now);
--- a/src/load/scenario.h
+++ b/src/load/scenario.h
@@ -20,7 +20,7 @@
   double zipf = 0;  ///< Skew of key popularity; 0 is even.
   std::chrono::microseconds work{2000};
   std::uint64_t answer_bytes = 200;
-  double straggler_share = 0;    ///< Share of keys whose work is long.
+  double straggler_share = 0;  ///< Share of keys whose work is long.
   double straggler_factor = 100;
   std::chrono::milliseconds crest_at{0};
   std::chrono::milliseconds crest_length{0};
--- a/src/ownership/drive_table.cc
+++ b/src/ownership/drive_table.cc
@@ -20,7 +20,7 @@
     : timing(timing), clock(clock) {}
 
 auto DriveTable::Start(Term term, TimePoint vacant_since,
-                       std::set<HostId> gateways) -> void {
+                       const std::set<HostId>& gateways) -> void {
   this->term = term;
   this->counter = 0;
   this->vacant_since = vacant_since;
@@ -29,10 +29,10 @@
   this->retry_at.clear();
   this->lost_servers.clear();
   this->lost_gateways.clear();
-  this->SetGateways(std::move(gateways));
+  this->SetGateways(gateways);
 }
 
-auto DriveTable::SetGateways(std::set<HostId> gateways) -> void {
+auto DriveTable::SetGateways(const std::set<HostId>& gateways) -> void {
   for (const auto& host : gateways) this->gateways[host];
 }
 
@@ -52,8 +52,7 @@
   }
 }
 
-auto DriveTable::OnReport(const Report& report, std::uint64_t session)
-    -> bool {
+auto DriveTable::OnReport(const Report& report, std::uint64_t session) -> bool {
   bool changed = false;
   auto& gateway = this->gateways[report.gateway];
   if (!gateway.reported) {
@@ -208,6 +207,7 @@
     // the grants that it gave.
     if (lost) this->lost_gateways[it->first] = drive.gateway;
     if (drive.lapsed) {
+      this->decisions.push_back({it->first, drive.gateway, drive.token, true});
       this->lost_servers.insert(it->first);
       this->retry_at[it->first] = now + kRetryLapsed;
     }
@@ -235,6 +235,7 @@
     drive.gateway = gateway;
     drive.token = this->NextToken();
     this->drives.emplace(id, drive);
+    this->decisions.push_back({id, gateway, drive.token, false});
     changed = true;
   }
   return changed;
--- a/src/ownership/drive_table.h
+++ b/src/ownership/drive_table.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/core.h"
@@ -30,14 +31,22 @@
     std::optional<std::int64_t> releasing_since;
   };
 
+  /// A decision about who drives a server, for the log.
+  struct Decision {
+    ServerId server;
+    HostId gateway;
+    FencingToken token = 0;
+    bool lapsed = false;  ///< The server was lost; else it was ordered.
+  };
+
   DriveTable(const LeaseTiming& timing, const Clock& clock);
 
   /// Forgets all and starts anew for a term: drives are adopted from reports;
   /// what no gateway reports is held to be driven until a lease has passed.
   /// @param vacant_since  since when no other placer has been active.
-  auto Start(Term term, TimePoint vacant_since, std::set<HostId> gateways)
-      -> void;
-  auto SetGateways(std::set<HostId> gateways) -> void;
+  auto Start(Term term, TimePoint vacant_since,
+             const std::set<HostId>& gateways) -> void;
+  auto SetGateways(const std::set<HostId>& gateways) -> void;
   /// @param session  reports to another session do not count as alignment.
   /// @return true if a server's state changed.
   auto OnReport(const Report& report, std::uint64_t session) -> bool;
@@ -46,6 +55,10 @@
   /// @return true if orders changed.
   auto Update(const std::map<ServerId, BackendServer>& servers) -> bool;
 
+  auto TakeDecisions() -> std::vector<Decision> {
+    return std::exchange(this->decisions, {});
+  }
+
   [[nodiscard]] auto Find(const ServerId& server) const -> const Drive*;
   [[nodiscard]] auto OrdersFor(const HostId& gateway) const
       -> std::vector<DriveOrder>;
@@ -96,6 +109,7 @@
   std::map<ServerId, TimePoint> retry_at;
   bool released = false;
   TimePoint next_evening;
+  std::vector<Decision> decisions;
   std::set<ServerId> lost_servers;
   std::map<ServerId, HostId> lost_gateways;
 };
--- a/src/ownership/placer.cc
+++ b/src/ownership/placer.cc
@@ -15,8 +15,9 @@
 
 }  // namespace
 
-Placer::Placer(HostId self, FailureDomain domain, std::uint64_t session,
-               const LeaseTiming& timing, const Clock& clock)
+Placer::Placer(const HostId& self, const FailureDomain& domain,
+               std::uint64_t session, const LeaseTiming& timing,
+               const Clock& clock)
     : self(self),
       domain(domain),
       session(session),
@@ -82,9 +83,9 @@
   }
   this->election.OnReport(report);
   const bool follows = report.bound_to == this->self;
-  if (this->active && follows &&
-      this->drives.OnReport(report, this->session)) {
+  if (this->active && follows && this->drives.OnReport(report, this->session)) {
     this->plan_now = true;
+    this->drivers_changed = true;
   }
   for (const auto& load : report.loads) {
     const auto name = Segment{load.service, this->domain, {}, {}}.Name();
@@ -558,7 +559,8 @@
   // A paused placer must not publish under a lease that ran out meanwhile.
   if (!this->election.IsActive()) return;
   if (auto record = this->election.RecordDocument()) this->Publish(*record);
-  if (this->drivers_changed) {
+  // While drives are being adopted, the last placer's list is the better one.
+  if (this->drivers_changed && !this->drives.IsAdopting()) {
     this->drivers_changed = false;
     this->PublishDrivers();
   }
--- a/src/ownership/placer.h
+++ b/src/ownership/placer.h
@@ -58,7 +58,7 @@
 /// sends what it hands out.
 class Placer {
  public:
-  Placer(HostId self, FailureDomain domain, std::uint64_t session,
+  Placer(const HostId& self, const FailureDomain& domain, std::uint64_t session,
          const LeaseTiming& timing, const Clock& clock);
 
   auto SetHosts(const HostList& hosts) -> void;
@@ -80,6 +80,9 @@
   auto OnTableCommit(const TableRequest& request, CommitOutcome outcome)
       -> void;
   auto TakeDecisions() -> std::vector<PlacementDecision>;
+  auto TakeDriveDecisions() -> std::vector<DriveTable::Decision> {
+    return this->drives.TakeDecisions();
+  }
 
   [[nodiscard]] auto GetElection() const -> const Election& {
     return this->election;
@@ -177,7 +180,7 @@
   std::map<std::string, SegmentState> segments;
   bool drivers_changed = false;
   bool proposals_due = false;  ///< Plans were made since the last proposal.
-  bool plan_now = true;  ///< Something that plans depend on has changed.
+  bool plan_now = true;        ///< Something that plans depend on has changed.
   TimePoint next_plan;
   nlohmann::json published_drivers;
   std::optional<Pending> pending;
--- a/src/peers/peer_links.cc
+++ b/src/peers/peer_links.cc
@@ -30,7 +30,7 @@
     this->endpoint.clear_error_channels(websocketpp::log::elevel::all);
     this->endpoint.init_asio(&loop.Io());
     this->endpoint.set_open_handshake_timeout(kOpenTimeoutMs);
-    this->endpoint.set_tcp_post_init_handler([this](Handle handle) {
+    this->endpoint.set_tcp_post_init_handler([this](const Handle& handle) {
       boost::system::error_code ignored;
       this->endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(
           boost::asio::ip::tcp::no_delay(true), ignored);
--- a/src/peers/peer_server.cc
+++ b/src/peers/peer_server.cc
@@ -27,21 +27,24 @@
     this->server.set_reuse_addr(true);
     this->server.set_max_message_size(kMaxMessageBytes);
     this->server.set_tcp_post_init_handler(
-        [this](websocketpp::connection_hdl handle) {
+        [this](const websocketpp::connection_hdl& handle) {
           boost::system::error_code ignored;
           this->server.get_con_from_hdl(handle)->get_raw_socket().set_option(
               boost::asio::ip::tcp::no_delay(true), ignored);
         });
-    this->server.set_message_handler([this](websocketpp::connection_hdl handle,
-                                            Server::message_ptr message) {
-      this->OnMessage(std::move(handle), message->get_payload());
-    });
-    this->server.set_open_handler([this](websocketpp::connection_hdl handle) {
-      this->open.insert(std::move(handle));
-    });
-    this->server.set_close_handler([this](websocketpp::connection_hdl handle) {
-      this->open.erase(handle);
-    });
+    this->server.set_message_handler(
+        [this](const websocketpp::connection_hdl& handle,
+               const Server::message_ptr& message) {
+          this->OnMessage(handle, message->get_payload());
+        });
+    this->server.set_open_handler(
+        [this](const websocketpp::connection_hdl& handle) {
+          this->open.insert(handle);
+        });
+    this->server.set_close_handler(
+        [this](const websocketpp::connection_hdl& handle) {
+          this->open.erase(handle);
+        });
   }
 
   auto Listen(const std::string& address, std::uint16_t port) -> void {
@@ -64,8 +67,8 @@
   }
 
  private:
-  auto OnMessage(websocketpp::connection_hdl handle, const std::string& data)
-      -> void {
+  auto OnMessage(const websocketpp::connection_hdl& handle,
+                 const std::string& data) -> void {
     websocketpp::lib::error_code ignored;
     try {
       const auto answer = this->handler(DecodeMessage(data));
--- a/src/placer/placer_process.cc
+++ b/src/placer/placer_process.cc
@@ -216,6 +216,12 @@
             " to=" + decision.to.Value() + " epoch=" +
             std::to_string(decision.epoch) + " why=" + decision.reason);
   }
+  for (const auto& decision : this->placer.TakeDriveDecisions()) {
+    Log(decision.lapsed ? events::kServerLapsed : events::kDriverOrdered,
+        "server=" + decision.server.Value() +
+            " driver=" + decision.gateway.Value() +
+            " token=" + std::to_string(decision.token));
+  }
   const auto now_role = this->placer.GetElection().GetRole();
   if (now_role == this->role) return;
   this->role = now_role;
--- a/src/routing/request_classifier.cc
+++ b/src/routing/request_classifier.cc
@@ -64,8 +64,7 @@
 
 auto FindNeighbour(const HttpRequest& request,
                    const Configuration& configuration) -> NeighbourName {
-  const NeighbourName named(
-      HeaderValue(request, configuration.neighbour_header));
+  NeighbourName named(HeaderValue(request, configuration.neighbour_header));
   for (const auto& neighbour : configuration.neighbours) {
     if (neighbour.name == named) return named;
   }
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -20,7 +20,7 @@
   HostId gateway;  ///< The gateway that drives the server; empty if none.
   /// The gateway that drove it before, if that one was lost.
   HostId lost_gateway;
-  Endpoint hop;    ///< Where that gateway takes requests of other gateways.
+  Endpoint hop;  ///< Where that gateway takes requests of other gateways.
 };
 
 /// Where a key is served.
--- a/src/servers/http_backend_client.cc
+++ b/src/servers/http_backend_client.cc
@@ -161,8 +161,7 @@
                                              std::to_string(request.slot));
   }
   const auto outgoing = MakeOutgoing(server, request, *token);
-  auto watch =
-      std::make_unique<CallWatch>(*connection, request.is_server_lost);
+  auto watch = std::make_unique<CallWatch>(*connection, request.is_server_lost);
   const auto head = connection->Exchange(outgoing, request.deadline);
   return std::make_unique<HttpBackendCall>(server, std::move(connection),
                                            std::move(watch), head);
--- a/tests/config/config_test.cc
+++ b/tests/config/config_test.cc
@@ -1,11 +1,11 @@
+#include "config/config.h"
+
 #include <gtest/gtest.h>
 
 #include <cstdio>
 #include <fstream>
 #include <string>
 
-#include "config/config.h"
-
 namespace currantbeam {
 namespace {
 
@@ -74,8 +74,7 @@
   const nlohmann::json json = configuration;
   const nlohmann::json again = json.get<Configuration>();
   EXPECT_EQ(json, again);
-  EXPECT_TRUE(
-      Describe(configuration, json.get<Configuration>()).empty());
+  EXPECT_TRUE(Describe(configuration, json.get<Configuration>()).empty());
 }
 
 TEST(Configuration, DescribesWhatChanged) {
@@ -116,8 +115,8 @@
     GatewaySettings::FromFile(path);
     FAIL() << "was taken";
   } catch (const InputError& error) {
-    EXPECT_NE(std::string(error.what()).find(
-                  ":4: field 'listen.address': 'localhost' is not an IP"),
+    EXPECT_NE(std::string(error.what())
+                  .find(":4: field 'listen.address': 'localhost' is not an IP"),
               std::string::npos)
         << error.what();
   }
--- a/tests/ownership/domain_world.cc
+++ b/tests/ownership/domain_world.cc
@@ -41,9 +41,8 @@
     this->hosts.push_back(std::move(host));
   }
   for (int i = 0; i < options.servers; ++i) {
-    this->servers.push_back(
-        std::make_unique<Server>(this->truth, rate(this->random),
-                                 Duration(offset(this->random))));
+    this->servers.push_back(std::make_unique<Server>(
+        this->truth, rate(this->random), Duration(offset(this->random))));
   }
   std::vector<Fault> starts;
   for (int i = 0; i < options.hosts; ++i) {
@@ -68,10 +67,9 @@
     if (fault.kind == Fault::Kind::kRestartPlacer) {
       auto& host = *this->hosts[fault.a % this->options.hosts];
       ++host.placer_runs;
-      host.placer =
-          std::make_unique<Placer>(host.id, kDomain,
-                                   host.placer_runs * 100 + fault.a,
-                                   this->options.placer, host.clock);
+      host.placer = std::make_unique<Placer>(host.id, kDomain,
+                                             host.placer_runs * 100 + fault.a,
+                                             this->options.placer, host.clock);
     }
     if (fault.kind == Fault::Kind::kRestartGateway) {
       auto& host = *this->hosts[fault.a % this->options.hosts];
@@ -83,8 +81,7 @@
     if (fault.kind == Fault::Kind::kRestartServer) {
       auto& server = *this->servers[fault.a % this->options.servers];
       ++server.runs;
-      server.holder =
-          std::make_unique<GrantHolder>(server.clock, server.runs);
+      server.holder = std::make_unique<GrantHolder>(server.clock, server.runs);
     }
   }
   this->UpdateHosts();
@@ -123,21 +120,21 @@
 }
 
 auto DomainWorld::IsOn(Fault::Kind kind, int a, int b) const -> bool {
-  const bool by_server = kind == Fault::Kind::kPauseServer ||
-                         kind == Fault::Kind::kServerLeaving;
+  const bool by_server =
+      kind == Fault::Kind::kPauseServer || kind == Fault::Kind::kServerLeaving;
   const auto count = by_server ? this->options.servers : this->options.hosts;
-  return std::any_of(
-      this->active.begin(), this->active.end(), [&](const Fault& fault) {
-        if (fault.kind != kind || this->step < fault.start ||
-            this->step >= fault.start + fault.length) {
-          return false;
-        }
-        if (a >= 0 && fault.a % count != a) return false;
-        const auto other = kind == Fault::Kind::kCutHosts
-                               ? this->options.hosts
-                               : this->options.servers;
-        return b < 0 || fault.b % other == b;
-      });
+  return std::any_of(this->active.begin(), this->active.end(),
+                     [&](const Fault& fault) {
+                       if (fault.kind != kind || this->step < fault.start ||
+                           this->step >= fault.start + fault.length) {
+                         return false;
+                       }
+                       if (a >= 0 && fault.a % count != a) return false;
+                       const auto other = kind == Fault::Kind::kCutHosts
+                                              ? this->options.hosts
+                                              : this->options.servers;
+                       return b < 0 || fault.b % other == b;
+                     });
 }
 
 auto DomainWorld::Send(bool is_cut, std::function<bool()> deliver) -> void {
@@ -150,8 +147,8 @@
   const int copies = percent(this->random) < (bad ? 20 : 2) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
     if (percent(this->random) < loss) continue;
-    this->messages.push_back({this->step + 1 + delay(this->random),
-                              this->message_order++, deliver});
+    this->messages.push_back(
+        {this->step + 1 + delay(this->random), this->message_order++, deliver});
   }
 }
 
@@ -203,9 +200,11 @@
     return;
   }
   if (is_cut()) {
-    answer([request](Placer& p) {
-      p.OnTableCommit(request, CommitOutcome::kUnknown);
-    }, kTimeoutSteps);
+    answer(
+        [request](Placer& p) {
+          p.OnTableCommit(request, CommitOutcome::kUnknown);
+        },
+        kTimeoutSteps);
     return;
   }
   std::uniform_int_distribution<int> delay(0, loses ? 40 : 1);
@@ -216,15 +215,17 @@
        [this, request, answer, loses] {
          const auto outcome = this->platform.Commit(request.transaction);
          if (loses) return true;
-         answer([request, outcome](Placer& p) {
-           p.OnTableCommit(request, outcome);
-         }, 1);
+         answer([request,
+                 outcome](Placer& p) { p.OnTableCommit(request, outcome); },
+                1);
          return true;
        }});
   if (loses) {
-    answer([request](Placer& p) {
-      p.OnTableCommit(request, CommitOutcome::kUnknown);
-    }, kTimeoutSteps);
+    answer(
+        [request](Placer& p) {
+          p.OnTableCommit(request, CommitOutcome::kUnknown);
+        },
+        kTimeoutSteps);
   }
 }
 
@@ -264,8 +265,7 @@
   for (const auto& attempt : host.gateway->Drives().DueGrants()) {
     const int to = std::stoi(attempt.server.Value().substr(1));
     const auto runs = host.gateway_runs;
-    const bool is_cut =
-        this->IsOn(Fault::Kind::kCutHostFromServer, index, to);
+    const bool is_cut = this->IsOn(Fault::Kind::kCutHostFromServer, index, to);
     const auto confirm = [this, index, runs,
                           attempt](std::optional<GrantAnswer> answer) {
       auto& there = *this->hosts[index];
@@ -288,16 +288,15 @@
     });
     // The client's own timeout; a later answer no longer matches.
     constexpr int kTimeoutSteps = 15;
-    this->messages.push_back({this->step + kTimeoutSteps,
-                              this->message_order++,
-                              [this, index, confirm] {
-                                if (this->IsOn(Fault::Kind::kPauseGateway,
-                                               index)) {
-                                  return false;
-                                }
-                                confirm(std::nullopt);
-                                return true;
-                              }});
+    this->messages.push_back(
+        {this->step + kTimeoutSteps, this->message_order++,
+         [this, index, confirm] {
+           if (this->IsOn(Fault::Kind::kPauseGateway, index)) {
+             return false;
+           }
+           confirm(std::nullopt);
+           return true;
+         }});
   }
 }
 
@@ -400,6 +399,21 @@
   }
 }
 
+auto DomainWorld::PublishedDriver(int server) const -> HostId {
+  Stamp newest;
+  HostId driver;
+  for (const auto& host : this->hosts) {
+    const auto* document = host->gateway->Documents().Find("drivers/d");
+    if (document == nullptr || document->stamp < newest) continue;
+    newest = document->stamp;
+    for (const auto& row : document->body) {
+      if (row.at("id").get<ServerId>() != this->ServerName(server)) continue;
+      driver = row.at("gateway").get<HostId>();
+    }
+  }
+  return driver;
+}
+
 auto DomainWorld::ServedSlots() const -> std::size_t {
   std::size_t served = 0;
   for (SlotIndex slot = 0; slot < this->options.slots; ++slot) {
@@ -411,7 +425,10 @@
         if (this->IsOn(Fault::Kind::kPauseServer, i)) continue;
         const auto token =
             host->gateway->Drives().MayDispatch(this->ServerName(i), slot);
-        if (token && this->servers[i]->holder->Allows(*token, slot)) {
+        const bool accepted =
+            token && this->servers[i]->holder->Allows(*token, slot);
+        // Requests find it only if its driver is published.
+        if (accepted && this->PublishedDriver(i) == host->id) {
           is_served = true;
         }
       }
@@ -455,10 +472,9 @@
 
 auto Describe(const Fault& fault) -> std::string {
   static const std::vector<std::string> kNames = {
-      "pause placer",     "pause gateway",      "pause server",
-      "restart placer",   "restart gateway",    "restart server",
-      "cut hosts",        "cut from platform",  "cut from server",
-      "platform down",    "answers lost",       "server leaving",
+      "pause placer",    "pause gateway",  "pause server", "restart placer",
+      "restart gateway", "restart server", "cut hosts",    "cut from platform",
+      "cut from server", "platform down",  "answers lost", "server leaving",
       "network bad"};
   std::ostringstream text;
   text << kNames.at(static_cast<std::size_t>(fault.kind)) << "(" << fault.a
--- a/tests/ownership/domain_world.h
+++ b/tests/ownership/domain_world.h
@@ -112,6 +112,8 @@
   auto UpdateHosts() -> void;
   auto Check() -> void;
   auto Fail(const std::string& what) -> void;
+  /// @return the server's driver by the newest document that a gateway has.
+  [[nodiscard]] auto PublishedDriver(int server) const -> HostId;
   [[nodiscard]] auto ServerName(int server) const -> ServerId;
 
   Options options;
--- a/tests/ownership/ownership_fuzz_test.cc
+++ b/tests/ownership/ownership_fuzz_test.cc
@@ -138,10 +138,8 @@
                  true,
                  false},
         LossCase{"Gateway", {Fault::Kind::kPauseGateway}, false, false},
-        LossCase{"GatewayRestart",
-                 {Fault::Kind::kRestartGateway},
-                 false,
-                 false},
+        LossCase{
+            "GatewayRestart", {Fault::Kind::kRestartGateway}, false, false},
         LossCase{"Server", {Fault::Kind::kPauseServer}, false, false},
         LossCase{"ServerRestart", {Fault::Kind::kRestartServer}, false, false},
         LossCase{"PlacerInOutage", {Fault::Kind::kPausePlacer}, true, true},
@@ -165,8 +163,8 @@
   for (int i = 0; i < histories; ++i) {
     std::vector<Fault> faults;
     for (int k = 0; k < 12; ++k) {
-      faults.push_back({kinds[kind(random)], target(random), target(random), start(random),
-                        length(random)});
+      faults.push_back({kinds[kind(random)], target(random), target(random),
+                        start(random), length(random)});
     }
     auto options = base;
     options.seed = static_cast<std::uint64_t>(i + 1);
@@ -180,11 +178,11 @@
 TEST(OwnershipFuzz, FindsDriveLeasesThatOutlastThePlacersView) {
   DomainWorld::Options options;
   options.gateway.drive_lease = std::chrono::seconds(3);
-  EXPECT_GT(CountViolations(options, 100,
-                            {Fault::Kind::kCutHosts,
-                             Fault::Kind::kCutHostFromServer,
-                             Fault::Kind::kCutHostFromServer}),
-            0);
+  EXPECT_GT(
+      CountViolations(options, 100,
+                      {Fault::Kind::kCutHosts, Fault::Kind::kCutHostFromServer,
+                       Fault::Kind::kCutHostFromServer}),
+      0);
 }
 
 TEST(OwnershipFuzz, FindsGatewaysThatFollowTwoPlacersAtATime) {
@@ -192,8 +190,7 @@
   options.gateway.leader_lease = std::chrono::milliseconds(1);
   options.gateway.drift_allowance = std::chrono::milliseconds(0);
   EXPECT_GT(CountViolations(options, 40,
-                            {Fault::Kind::kCutHosts,
-                             Fault::Kind::kPausePlacer,
+                            {Fault::Kind::kCutHosts, Fault::Kind::kPausePlacer,
                              Fault::Kind::kPlatformDown}),
             0);
 }
--- a/tests/peers/peer_message_test.cc
+++ b/tests/peers/peer_message_test.cc
@@ -62,8 +62,8 @@
 
 TEST(PeerMessage, AnyBytesAreReadOrRefused) {
   EXPECT_TRUE(rc::check("decoding never fails otherwise", [] {
-    const auto bytes = *rc::gen::container<std::string>(
-        rc::gen::arbitrary<char>());
+    const auto bytes =
+        *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
     try {
       DecodeMessage(bytes).get<Report>();
     } catch (const InputError&) {
--- a/tests/policy/policy_test.cc
+++ b/tests/policy/policy_test.cc
@@ -1,3 +1,5 @@
+#include "policy/policy.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
@@ -5,8 +7,6 @@
 #include <string>
 #include <vector>
 
-#include "policy/policy.h"
-
 namespace currantbeam {
 namespace {
 
@@ -64,8 +64,7 @@
   }
   EXPECT_EQ(queue.TakeStartable(clock.Now()).size(), 2U);
   queue.Offer(MakeItem(99, "c", "n", clock.Now()), clock.Now(), retry);
-  EXPECT_EQ(queue.TakeStartable(clock.Now()),
-            std::vector<std::uint64_t>{99});
+  EXPECT_EQ(queue.TakeStartable(clock.Now()), std::vector<std::uint64_t>{99});
 }
 
 TEST(ServerQueue, RefusesWhatCannotMeetItsDeadline) {
@@ -92,8 +91,8 @@
     std::map<std::uint64_t, bool> open;  // True once started.
     std::uint64_t id = 0;
     Duration retry{0};
-    const auto steps = *rc::gen::container<std::vector<int>>(
-        rc::gen::inRange(0, 100));
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
     for (const auto step : steps) {
       clock.Advance(std::chrono::milliseconds(1));
       if (step < 50) {
--- a/tests/servers/request_path_test.cc
+++ b/tests/servers/request_path_test.cc
@@ -48,8 +48,8 @@
     this->state = std::make_unique<GatewayState>(this->settings, this->timing,
                                                  this->clock);
     this->driver = std::make_unique<Driver>(*this->state, this->client);
-    this->handler = std::make_unique<CallerHandler>(*this->state,
-                                                    *this->driver);
+    this->handler =
+        std::make_unique<CallerHandler>(*this->state, *this->driver);
     this->behaviour.work = std::chrono::microseconds(500);
   }
 
