--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -139,7 +139,8 @@
     if (sum == 42) std::printf(" ");
     find.push_back({1.0 * slots, took * 1000 / kLookups});
     nlohmann::json body = MakeSegment(slots, 40);
-    bytes.push_back({1.0 * slots, 1.0 * EncodeMessage(body).size()});
+    bytes.push_back(
+        {1.0 * slots, static_cast<double>(EncodeMessage(body).size())});
   }
   Report("routing decision", "ns", "slots", find);
   Report("routing table build", "ms", "slots", build);
@@ -264,8 +265,10 @@
       beat.orders.push_back({id, 4'300'000'000ULL});
       report.drives.push_back({id, 4'300'000'000ULL, true, false, 9, 0});
     }
-    beats.push_back({1.0 * servers, 1.0 * EncodeMessage(beat).size()});
-    reports.push_back({1.0 * servers, 1.0 * EncodeMessage(report).size()});
+    beats.push_back(
+        {1.0 * servers, static_cast<double>(EncodeMessage(beat).size())});
+    reports.push_back(
+        {1.0 * servers, static_cast<double>(EncodeMessage(report).size())});
     const auto wire = EncodeMessage(beat);
     agent_time.push_back({1.0 * servers, Micros(
                                              [&] {
@@ -285,7 +288,8 @@
     grant.expires_at = 1'000'000'000'000;
     for (SlotIndex i = 0; i < slots; ++i) grant.slots.push_back(100'000 + i);
     grants.push_back(
-        {1.0 * slots, 1.0 * nlohmann::json(grant.slots).dump().size() + 120});
+        {1.0 * slots,
+         static_cast<double>(nlohmann::json(grant.slots).dump().size() + 120)});
   }
   Report("grant, JSON", "bytes", "slots owned by the server", grants);
 }
--- a/src/load/load_runner.cc
+++ b/src/load/load_runner.cc
@@ -161,6 +161,7 @@
     parts[i % parts.size()].push_back(arrivals[i]);
   }
   std::vector<std::unique_ptr<Worker>> workers;
+  workers.reserve(parts.size());
   for (auto& part : parts) {
     workers.push_back(std::make_unique<Worker>(this->scenario, this->options,
                                                std::move(part)));
@@ -168,6 +169,7 @@
   const auto start =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(50);
   std::vector<std::thread> threads;
+  threads.reserve(workers.size());
   for (auto& worker : workers) {
     threads.emplace_back([&worker, start] { worker->Run(start); });
   }
--- a/tests/ownership/domain_world.cc
+++ b/tests/ownership/domain_world.cc
@@ -137,7 +137,8 @@
                      });
 }
 
-auto DomainWorld::Send(bool is_cut, std::function<bool()> deliver) -> void {
+auto DomainWorld::Send(bool is_cut, const std::function<bool()>& deliver)
+    -> void {
   if (is_cut) return;
   const bool bad = this->IsOn(Fault::Kind::kNetworkBad, -1);
   std::uniform_int_distribution<int> percent(0, 99);
@@ -174,8 +175,8 @@
     return this->IsOn(Fault::Kind::kPlatformDown, -1) ||
            this->IsOn(Fault::Kind::kCutHostFromPlatform, host);
   };
-  const auto answer = [this, host, runs](std::function<void(Placer&)> tell,
-                                         int wait) {
+  const auto answer = [this, host, runs](
+                          const std::function<void(Placer&)>& tell, int wait) {
     this->messages.push_back(
         {this->step + wait, this->message_order++, [this, host, runs, tell] {
            if (this->IsOn(Fault::Kind::kPausePlacer, host)) return false;
--- a/tests/ownership/domain_world.h
+++ b/tests/ownership/domain_world.h
@@ -104,7 +104,7 @@
   auto Step(const std::vector<Fault>& faults) -> void;
   auto ApplyRestarts(const std::vector<Fault>& faults) -> void;
   [[nodiscard]] auto IsOn(Fault::Kind kind, int a, int b = -1) const -> bool;
-  auto Send(bool is_cut, std::function<bool()> deliver) -> void;
+  auto Send(bool is_cut, const std::function<bool()>& deliver) -> void;
   auto Deliver() -> void;
   auto RunPlacer(int host) -> void;
   auto RunGateway(int host) -> void;
--- a/tests/ownership/ownership_fuzz_test.cc
+++ b/tests/ownership/ownership_fuzz_test.cc
@@ -80,7 +80,8 @@
         start += 100;
       }
       DomainWorld::Options options;
-      options.seed = static_cast<std::uint64_t>(first * 100 + second + 1);
+      options.seed = static_cast<std::uint64_t>(first) * 100 +
+                     static_cast<std::uint64_t>(second) + 1;
       EXPECT_EQ(RunHistory(options, faults), "") << DescribeAll(faults);
     }
   }
@@ -162,12 +163,13 @@
   int violations = 0;
   for (int i = 0; i < histories; ++i) {
     std::vector<Fault> faults;
+    faults.reserve(12);
     for (int k = 0; k < 12; ++k) {
       faults.push_back({kinds[kind(random)], target(random), target(random),
                         start(random), length(random)});
     }
     auto options = base;
-    options.seed = static_cast<std::uint64_t>(i + 1);
+    options.seed = static_cast<std::uint64_t>(i) + 1;
     DomainWorld world(options);
     world.Run(faults, kWarmUp + kFaultSteps + 150);
     if (!world.Violation().empty()) ++violations;
