--- a/tests/servers/request_path_test.cc
+++ b/tests/servers/request_path_test.cc
@@ -43,6 +43,9 @@
 class RequestPath : public testing::Test {
  protected:
   RequestPath() {
+    // Leases that no busy machine outlasts: time is not what is tested here.
+    this->timing.drive_lease = std::chrono::seconds(60);
+    this->timing.grant = std::chrono::seconds(60);
     this->settings.host = HostId("h");
     this->settings.domain = FailureDomain("x");
     this->state = std::make_unique<GatewayState>(this->settings, this->timing,
