Notice healed cuts within a second, and reload settings on SIGHUP

Ruled out: the keep-alive probes; the feed itself broke within 3 s.

Change: Fetch connects within 500 ms; the settings file is read again at SIGHUP and each second.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -34,6 +34,9 @@
 constexpr auto kDefaultIdleLimit = std::chrono::seconds(5);
 /// Part of the peer's limit that is used, as requests need time to arrive.
 constexpr double kIdleLimitUsed = 0.8;
+/// A peer that is cut off answers no attempt to connect, so that a longer one
+/// would go on after the cut has healed.
+constexpr auto kFetchConnectTimeout = std::chrono::milliseconds(500);
 constexpr int kProbeSeconds = 1;
 constexpr int kProbesLost = 2;
 
@@ -234,7 +237,8 @@
   request.version(11);
   request.set(http::field::host, address + ":" + std::to_string(port));
   request.prepare_payload();
-  auto connection = pool.Take(address, port, timeout, true);
+  auto connection =
+      pool.Take(address, port, std::min(timeout, kFetchConnectTimeout), true);
   HttpResponse response;
   response.base() = connection->Exchange(request, left());
   while (true) {
--- a/src/program/program.cc
+++ b/src/program/program.cc
@@ -64,4 +64,27 @@
 
 StopSignal::~StopSignal() = default;
 
+struct ReloadSignal::Signals {
+  explicit Signals(FiberLoop& loop) : set(loop.Io(), SIGHUP) {}
+  boost::asio::signal_set set;
+};
+
+ReloadSignal::ReloadSignal(FiberLoop& loop, std::function<void()> on_reload)
+    : loop(loop),
+      on_reload(std::move(on_reload)),
+      signals(std::make_unique<Signals>(loop)) {
+  this->Await();
+}
+
+ReloadSignal::~ReloadSignal() = default;
+
+auto ReloadSignal::Await() -> void {
+  this->signals->set.async_wait(
+      [this](const boost::system::error_code& error, int) {
+        if (error) return;
+        this->loop.Spawn(this->on_reload);
+        this->Await();
+      });
+}
+
 }  // namespace currantbeam
--- a/src/program/program.h
+++ b/src/program/program.h
@@ -30,6 +30,21 @@
 
 constexpr const char* kVersion = "0.1.0";
 
+/// Calls `on_reload` on the loop, in a fiber, at each SIGHUP.
+class ReloadSignal {
+ public:
+  ReloadSignal(FiberLoop& loop, std::function<void()> on_reload);
+  ~ReloadSignal();
+
+ private:
+  struct Signals;
+  auto Await() -> void;
+
+  FiberLoop& loop;
+  std::function<void()> on_reload;
+  std::unique_ptr<Signals> signals;
+};
+
 /// Calls `on_stop` on the loop, in a fiber, at the first SIGTERM or SIGINT.
 class StopSignal {
  public:
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -13,6 +13,7 @@
 /// together.
 constexpr double kRetryPart = 0.8;
 constexpr auto kSweepInterval = std::chrono::milliseconds(200);
+constexpr int kSweepsPerSettingsPoll = 5;
 constexpr auto kBackendBatching = std::chrono::milliseconds(150);
 /// Of the time until the process is killed: when the last connections are
 /// closed, and when work that still runs is given up.
@@ -67,7 +68,8 @@
           this->peers.schema,
           [this](RouteConfig config) { this->TakeRoutes(std::move(config)); }),
       backends_listener(this->peers.schema, this->directory),
-      stop_signal(this->loop, [this] { this->Drain(); }) {}
+      stop_signal(this->loop, [this] { this->Drain(); }),
+      reload_signal(this->loop, [this] { this->PollSettings(); }) {}
 
 auto RouterProcess::Run() -> void {
   this->callers.Listen(this->loop);
@@ -116,9 +118,25 @@
 }
 
 auto RouterProcess::Sweep() -> void {
-  while (true) {
+  for (int sweep = 0;; ++sweep) {
     SleepFor(kSweepInterval);
     this->directory.DropLapsed();
+    if (sweep % kSweepsPerSettingsPoll == 0) this->PollSettings();
+  }
+}
+
+auto RouterProcess::PollSettings() -> void {
+  try {
+    const auto changed = this->peers.settings.Poll();
+    if (!changed) return;
+    this->settings.stop_grace = changed->stop_grace;
+    this->state.retry_share = changed->retry_share * kRetryPart;
+    this->state.retry_burst = changed->retry_extra * kRetryPart / kHostsAssumed;
+    Log(events::kSettingsReloaded,
+        "stop_grace_ms=" + std::to_string(changed->stop_grace.count()));
+  } catch (const InputError& error) {
+    Log(events::kSettingsReloaded,
+        std::string("error=\"") + error.what() + "\"");
   }
 }
 
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -15,6 +15,7 @@
   StoreClient& store;
   GrantClient& grants;
   const StoreSchema& schema;
+  SettingsSource& settings;
   ForwardingHeaders headers;
 };
 
@@ -43,7 +44,9 @@
   auto StartFollowing(const std::string& table, TableListener& listener,
                       std::chrono::milliseconds batching) -> void;
   auto TakeRoutes(RouteConfig config) -> void;
+  /// Does what is due now and then: settings that changed, lapsed entries.
   auto Sweep() -> void;
+  auto PollSettings() -> void;
   auto Drain() -> void;
   [[nodiscard]] auto IsReady() const -> bool;
 
@@ -62,6 +65,7 @@
   RoutesListener routes_listener;
   BackendsListener backends_listener;
   StopSignal stop_signal;
+  ReloadSignal reload_signal;
   bool draining = false;
 };
 
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "core/core.h"
@@ -32,4 +33,13 @@
   std::string log_level = "info";
 };
 
+/// Where the settings come from, and may change while the process runs.
+class SettingsSource {
+ public:
+  virtual ~SettingsSource() = default;
+  /// @return the settings, if they changed since they were last asked for.
+  /// @throws InputError if they cannot be read; those in force stay.
+  virtual auto Poll() -> std::optional<RouterSettings> = 0;
+};
+
 }  // namespace currantbeam
