--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -217,6 +217,14 @@
 auto ConnectionPool::Give(const std::string& address, std::uint16_t port,
                           std::unique_ptr<HttpConnection> connection) -> void {
   if (!connection->IsReusable()) return;
+  if (!this->is_cleared_at_end) {
+    // Connections must not outlive the loop that they wait on.
+    FiberLoop::Current().AtEnd([this] {
+      this->idle.clear();
+      this->is_cleared_at_end = false;
+    });
+    this->is_cleared_at_end = true;
+  }
   auto& kept = this->idle[{address, port}];
   if (kept.size() >= kMaxIdle) return;
   const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -90,6 +90,7 @@
   };
   using Key = std::pair<std::string, std::uint16_t>;
   std::map<Key, std::deque<Kept>> idle;
+  bool is_cleared_at_end = false;
 };
 
 /// Sends a request and reads the whole answer, over the calling loop's pool.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -195,11 +196,8 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
-    this->Arm(limits.header_timeout);
-    auto result = Await([&](auto handler) {
-      http::async_read_header(this->stream, this->buffer, parser, handler);
-    });
-    const bool is_head_late = result.error == boost::beast::error::timeout;
+    auto result = this->ReadHead(parser);
+    const bool is_head_late = result.error == asio::error::operation_aborted;
     if (!result.error && !parser.is_done()) {
       this->Arm(this->server.options.io_timeout);
       result = Await([&](auto handler) {
@@ -218,6 +216,35 @@
     return false;
   }
 
+  /// Reads a request's head within the time that it may take.
+  /// @return operation_aborted if it is late; the connection stays open, so
+  ///   that the client can be told.
+  auto ReadHead(http::request_parser<http::string_body>& parser)
+      -> AwaitResult {
+    this->stream.expires_never();
+    asio::steady_timer timer(this->stream.get_executor());
+    // The timer's handler may be due already when the head is in.
+    const auto is_waiting = std::make_shared<bool>(true);
+    if (!this->HasWholeHead()) {
+      timer.expires_after(this->server.options.limits.header_timeout);
+      timer.async_wait([this, is_waiting](const auto& error) {
+        if (!error && *is_waiting) this->stream.socket().cancel();
+      });
+    }
+    const auto result = Await([&](auto handler) {
+      http::async_read_header(this->stream, this->buffer, parser, handler);
+    });
+    *is_waiting = false;
+    return result;
+  }
+
+  [[nodiscard]] auto HasWholeHead() const -> bool {
+    const auto data = this->buffer.cdata();
+    const std::string_view text(static_cast<const char*>(data.data()),
+                                data.size());
+    return text.find("\r\n\r\n") != std::string_view::npos;
+  }
+
   /// Waits for the next request as long as a kept connection may be idle.
   auto ReadFirstBytes() -> bool {
     this->buffer.shrink_to_fit();
--- a/src/keys/grant_client.h
+++ b/src/keys/grant_client.h
@@ -11,6 +11,7 @@
   kAccepted,
   kStaleFence,  ///< The server has seen a higher token on one of the keys.
   kRefused,     ///< It answered, and took nothing.
+  kNoContact,   ///< There was no connection; it cannot have taken the grant.
   kNoAnswer,    ///< It may have taken the grant, or may take it later.
 };
 
@@ -18,6 +19,8 @@
 struct ReleaseReply {
   /// It has stopped all work on the keys; if false, it may go on.
   bool is_released = false;
+  /// There was no connection.
+  bool is_out_of_contact = false;
   /// What spares the next owner a slow start; may be empty.
   std::string hand_over;
 };
--- /dev/null
+++ b/src/keys/kept_service.cc
@@ -0,0 +1,95 @@
+#include "keys/kept_service.h"
+
+#include <utility>
+
+#include "core/events.h"
+
+namespace currantbeam {
+namespace {
+
+/// The first owners are chosen once no server has joined for this long.
+constexpr auto kServersSettle = std::chrono::milliseconds(1000);
+
+auto RowOf(const ServiceName& service) -> RowName {
+  return {kOwnersTable, "", service.Value()};
+}
+
+}  // namespace
+
+KeptService::KeptService(ServiceName name, StoreClient& store,
+                         const Clock& clock, const KeeperLease& lease,
+                         const GrantTiming& timing, int stripe_count)
+    : name(std::move(name)),
+      store(store),
+      clock(clock),
+      lease(lease),
+      keeper(clock, timing),
+      stripe_count(stripe_count) {}
+
+auto KeptService::TakeOrders(std::vector<PlannedServer> servers)
+    -> std::vector<KeyOrder> {
+  if (this->loaded_term != this->lease.Term() && !this->Load()) return {};
+  this->NoteServers(std::move(servers));
+  return this->keeper.TakeOrders();
+}
+
+auto KeptService::NoteServers(std::vector<PlannedServer> servers) -> void {
+  if (servers.size() != this->servers_seen) {
+    this->servers_seen = servers.size();
+    this->servers_seen_at = this->clock.Now();
+  }
+  this->keeper.SetServers(std::move(servers));
+}
+
+auto KeptService::Load() -> bool {
+  const auto term = this->lease.Term();
+  try {
+    const auto batch = this->store.Read(kOwnersTable, "");
+    OwnerMap map(this->stripe_count);
+    StoreVersion version = 0;
+    for (const auto& row : batch.rows) {
+      if (row.name.key != this->name.Value()) continue;
+      map = OwnerMap::Decode(row.value);
+      version = row.version;
+    }
+    this->keeper.Load(std::move(map), version);
+    this->loaded_term = term;
+    return true;
+  } catch (const Error& error) {
+    Log(events::kOwnersUnread,
+        "service=" + this->name.Value() + " error=\"" + error.what() + "\"");
+  }
+  return false;
+}
+
+auto KeptService::MayCommit() const -> bool {
+  if (this->loaded_term != this->lease.Term()) return false;
+  if (this->keeper.Version() != 0) return true;
+  return this->clock.Now() - this->servers_seen_at >= kServersSettle;
+}
+
+auto KeptService::CommitChanges() -> void {
+  if (!this->lease.IsHeld() || !this->MayCommit()) return;
+  if (!this->keeper.PlanChange()) return;
+  StoreWrite write;
+  write.conditions.push_back(this->lease.Condition());
+  write.conditions.push_back({RowOf(this->name), this->keeper.Version()});
+  write.puts.push_back(
+      {RowOf(this->name), this->keeper.PlannedMap().Encode(), 0, false});
+  const auto result = this->store.Write(write);
+  if (result.outcome == WriteOutcome::kWritten) {
+    this->keeper.OnCommitted(result.version);
+    Log(events::kOwnersCommitted,
+        "service=" + this->name.Value() +
+            " version=" + std::to_string(result.version) +
+            " fence=" + std::to_string(this->keeper.Map().LastFence()));
+    return;
+  }
+  // Without an answer the write may be done already, or be done later.
+  this->loaded_term = 0;
+  Log(result.outcome == WriteOutcome::kUnknown ? events::kCommitUnknown
+                                               : events::kCommitConflict,
+      "row=owners/" + this->name.Value());
+}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/keys/kept_service.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <vector>
+
+#include "keys/keeper_lease.h"
+#include "keys/service_keeper.h"
+
+namespace currantbeam {
+
+/// The table in which the owners of each keyed service's keys are kept.
+constexpr const char* kOwnersTable = "owners";
+
+/// One service's owners between the store and the keeper's decisions: loads
+/// the map anew in each term of the lease, and commits changes before any
+/// grant follows from them.
+class KeptService {
+ public:
+  KeptService(ServiceName name, StoreClient& store, const Clock& clock,
+              const KeeperLease& lease, const GrantTiming& timing,
+              int stripe_count = kDefaultStripeCount);
+
+  [[nodiscard]] auto Name() const -> const ServiceName& { return this->name; }
+  /// Call while the lease is held.
+  /// @param servers  that may own keys.
+  /// @return calls that are due; answer each at Keeper().
+  auto TakeOrders(std::vector<PlannedServer> servers) -> std::vector<KeyOrder>;
+  /// Commits the changes that are due, if the lease is held. Not to be called
+  /// while the lease is being renewed.
+  auto CommitChanges() -> void;
+  [[nodiscard]] auto Keeper() -> ServiceKeeper& { return this->keeper; }
+
+ private:
+  auto Load() -> bool;
+  auto NoteServers(std::vector<PlannedServer> servers) -> void;
+  [[nodiscard]] auto MayCommit() const -> bool;
+
+  ServiceName name;
+  StoreClient& store;
+  const Clock& clock;
+  const KeeperLease& lease;
+  ServiceKeeper keeper;
+  int stripe_count;
+  int loaded_term = 0;  ///< The lease's term in which the map was loaded.
+  std::size_t servers_seen = 0;
+  TimePoint servers_seen_at{};
+};
+
+}  // namespace currantbeam
--- a/src/keys/key_keeper.h
+++ b/src/keys/key_keeper.h
@@ -8,14 +8,11 @@
 
 #include "backends/backends.h"
 #include "keys/keeper_lease.h"
-#include "keys/service_keeper.h"
+#include "keys/kept_service.h"
 #include "runtime/runtime.h"
 
 namespace currantbeam {
 
-/// The table in which the owners of each keyed service's keys are kept.
-constexpr const char* kOwnersTable = "owners";
-
 /// Keeps the owners of all keyed services while this process holds the lease:
 /// commits changes to the store first, and then grants and releases. Runs on
 /// one loop; all its methods are called there.
@@ -37,37 +34,34 @@
 
  private:
   struct Service {
-    explicit Service(const Clock& clock, const GrantTiming& timing)
-        : keeper(clock, timing) {}
-    ServiceKeeper keeper;
+    KeptService kept;
     bool is_keyed = true;  ///< By the newest configuration.
-    int loaded_term = 0;   ///< The lease's term in which the map was loaded.
-    std::size_t servers_seen = 0;
-    TimePoint servers_seen_at{};
   };
   /// Calls to one server, in order, a few at a time.
   struct Lane {
     struct Call {
-      ServiceName service;
+      KeptService* service = nullptr;
       KeyOrder order;
     };
     std::deque<Call> calls;
     int fibers = 0;
     TimePoint paused_until{};
     TimePoint failing_since{};
-    bool is_failing = false;
+    int failures_in_row = 0;
   };
 
   auto RunLease() -> void;
   auto RunServices() -> void;
-  auto Tick(const ServiceName& name, Service& service) -> void;
-  auto LoadMap(const ServiceName& name, Service& service) -> bool;
-  auto UpdateServers(const ServiceName& name, Service& service) -> void;
-  [[nodiscard]] auto MayCommit(Service& service) -> bool;
-  auto Commit(const ServiceName& name, Service& service) -> void;
-  auto Dispatch(const ServiceName& name, const KeyOrder& order) -> void;
+  auto Tick(KeptService& service) -> void;
+  [[nodiscard]] auto ServersOf(const ServiceName& name) const
+      -> std::vector<PlannedServer>;
+  auto Dispatch(KeptService& service, const KeyOrder& order) -> void;
   auto RunLane(Lane& lane) -> void;
   auto Call(Lane& lane, const KeyOrder& order, ServiceKeeper& keeper) -> void;
+  auto CallGrant(Lane& lane, const KeyOrder& order, ServiceKeeper& keeper)
+      -> void;
+  auto CallRelease(Lane& lane, const KeyOrder& order, ServiceKeeper& keeper)
+      -> void;
   auto NoteReply(Lane& lane, bool has_answered) -> void;
   [[nodiscard]] auto IsUnreachable(const KeyOwner& owner) const -> bool;
   static auto LaneKey(const KeyOwner& owner) -> std::string;
--- a/src/keys/keys.h
+++ b/src/keys/keys.h
@@ -6,6 +6,7 @@
 
 #include "keys/grant_client.h"
 #include "keys/keeper_lease.h"
+#include "keys/kept_service.h"
 #include "keys/key_keeper.h"
 #include "keys/owner_map.h"
 #include "keys/service_keeper.h"
--- a/src/keys/owner_map.cc
+++ b/src/keys/owner_map.cc
@@ -65,20 +65,22 @@
 auto OwnerMap::Decode(const std::string& text) -> OwnerMap {
   try {
     const auto json = nlohmann::json::from_cbor(text);
-    OwnerMap map;
+    const auto& indexes = json.at("stripes");
+    const auto& fences = json.at("fences");
+    const auto stripe_count = static_cast<int>(indexes.size());
+    const bool is_even = stripe_count > 0 && kKeyCount % stripe_count == 0;
+    if (!is_even || fences.size() != indexes.size()) {
+      throw InputError("owner map: wrong number of stripes");
+    }
+    OwnerMap map(stripe_count);
     for (const auto& owner : json.at("owners")) {
       map.owners.push_back(
           {owner.at(0).get<ServerId>(),
            std::chrono::milliseconds(owner.at(1).get<std::int64_t>()),
            owner.at(2).get<std::string>(), owner.at(3).get<std::uint16_t>()});
     }
-    const auto& indexes = json.at("stripes");
-    const auto& fences = json.at("fences");
-    if (indexes.size() != kStripeCount || fences.size() != kStripeCount) {
-      throw InputError("owner map: wrong number of stripes");
-    }
     const auto count = static_cast<int>(map.owners.size());
-    for (int i = 0; i < kStripeCount; ++i) {
+    for (int i = 0; i < stripe_count; ++i) {
       const auto index = indexes[i].get<int>();
       if (index < kNobody || index >= count) {
         throw InputError("owner map: no such owner");
--- a/src/keys/owner_map.h
+++ b/src/keys/owner_map.h
@@ -12,9 +12,8 @@
 
 /// Keys are numbers below this.
 constexpr int kKeyCount = 65536;
-/// Neighbouring keys that always have the same owner.
-constexpr int kKeysPerStripe = 32;
-constexpr int kStripeCount = kKeyCount / kKeysPerStripe;
+/// Stripes of a new map: runs of neighbouring keys with one owner each.
+constexpr int kDefaultStripeCount = 2048;
 
 /// Consecutive keys, both ends included.
 struct KeyRange {
@@ -22,11 +21,6 @@
   int last = 0;
 };
 
-/// @return the keys of a stripe.
-constexpr auto KeysOf(int stripe) -> KeyRange {
-  return {stripe * kKeysPerStripe, (stripe + 1) * kKeysPerStripe - 1};
-}
-
 /// One life of a backend server that owns keys, and where it is reached even
 /// when its entry has gone.
 struct KeyOwner {
@@ -45,11 +39,21 @@
 /// token. A stripe changes hands with a higher token only.
 class OwnerMap {
  public:
-  OwnerMap() : stripes(kStripeCount) {}
+  /// @param stripe_count  divides the number of keys.
+  explicit OwnerMap(int stripe_count = kDefaultStripeCount)
+      : stripes(stripe_count) {}
 
+  [[nodiscard]] auto StripeCount() const -> int {
+    return static_cast<int>(this->stripes.size());
+  }
+  /// @return the keys of a stripe.
+  [[nodiscard]] auto KeysOf(int stripe) const -> KeyRange {
+    const int width = kKeyCount / this->StripeCount();
+    return {stripe * width, (stripe + 1) * width - 1};
+  }
   [[nodiscard]] auto OwnerOf(int stripe) const -> const KeyOwner*;
   [[nodiscard]] auto OwnerOfKey(int key) const -> const KeyOwner* {
-    return this->OwnerOf(key / kKeysPerStripe);
+    return this->OwnerOf(key / (kKeyCount / this->StripeCount()));
   }
   [[nodiscard]] auto FenceOf(int stripe) const -> FencingToken {
     return this->stripes[stripe].fence;
--- a/src/keys/service_keeper.cc
+++ b/src/keys/service_keeper.cc
@@ -16,15 +16,29 @@
   const auto now = this->clock.Now();
   this->map = std::move(map);
   this->version = version;
+  this->stripes.assign(this->map.StripeCount(), Stripe());
   ++this->term;
+  this->heard_at.clear();
   this->evened_at = now;
-  for (int i = 0; i < kStripeCount; ++i) {
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
     auto& stripe = this->stripes[i];
-    stripe = Stripe();
     if (this->map.OwnerOf(i) == nullptr) continue;
     stripe.phase = Phase::kHeld;
     stripe.held_until = this->LongestHold(now);
     stripe.due = now;
+    // Shuts out what the last keeper sent that is still on its way.
+    stripe.is_fence_stale = true;
+  }
+}
+
+auto ServiceKeeper::OnContactLost(const KeyOwner& owner) -> void {
+  this->heard_at.erase(owner.id);
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
+    const auto* holder = this->map.OwnerOf(i);
+    if (holder == nullptr || !(*holder == owner)) continue;
+    auto& stripe = this->stripes[i];
+    stripe.is_fence_stale |= stripe.is_fence_used;
+    stripe.is_lost = true;
   }
 }
 
@@ -42,12 +56,14 @@
 auto ServiceKeeper::OnAddressReused(const std::string& address,
                                     std::uint16_t port, const ServerId& id,
                                     std::chrono::milliseconds started) -> void {
-  for (int i = 0; i < kStripeCount; ++i) {
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
     const auto* owner = this->map.OwnerOf(i);
     if (owner == nullptr) continue;
     const bool is_here = owner->address == address && owner->port == port;
     const bool is_other = owner->id != id || owner->started != started;
-    if (is_here && is_other) this->stripes[i].held_until = TimePoint{};
+    // What was granted after the loss may have gone to the other life.
+    auto& stripe = this->stripes[i];
+    if (is_here && is_other && stripe.is_lost) stripe.held_until = TimePoint{};
   }
 }
 
@@ -58,7 +74,7 @@
 }
 
 auto ServiceKeeper::UpdatePhases(TimePoint now) -> void {
-  for (int i = 0; i < kStripeCount; ++i) {
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
     auto& stripe = this->stripes[i];
     const auto* owner = this->map.OwnerOf(i);
     if (stripe.phase == Phase::kVacant || owner == nullptr) continue;
@@ -68,10 +84,7 @@
     }
     const bool is_back = stripe.phase == Phase::kReleasing &&
                          !stripe.is_evened && this->IsSound(*owner);
-    if (is_back && !stripe.is_in_flight) {
-      stripe.phase = Phase::kHeld;
-      stripe.due = now;
-    }
+    if (is_back && !stripe.is_in_flight) stripe.phase = Phase::kHeld;
     const bool has_run_out = now >= stripe.held_until && !stripe.is_in_flight;
     if (stripe.phase == Phase::kReleasing && has_run_out) {
       stripe.phase = Phase::kVacant;
@@ -79,6 +92,19 @@
   }
 }
 
+auto ServiceKeeper::CheckSilence(TimePoint now) -> void {
+  for (const auto& server : this->servers) {
+    const auto it = this->heard_at.find(server.owner.id);
+    if (it == this->heard_at.end()) continue;
+    if (now - it->second <= this->timing.most_silence) continue;
+    this->OnContactLost(server.owner);
+  }
+}
+
+auto ServiceKeeper::NoteHeard(const KeyOwner& owner) -> void {
+  this->heard_at[owner.id] = this->clock.Now();
+}
+
 auto ServiceKeeper::EvenOut(TimePoint now) -> void {
   if (now - this->evened_at < kEvenInterval) return;
   this->evened_at = now;
@@ -110,9 +136,10 @@
 auto ServiceKeeper::TakeOrders() -> std::vector<KeyOrder> {
   const auto now = this->clock.Now();
   this->UpdatePhases(now);
+  this->CheckSilence(now);
   this->EvenOut(now);
   std::vector<KeyOrder> orders;
-  for (int i = 0; i < kStripeCount; ++i) {
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
     auto& stripe = this->stripes[i];
     if (stripe.is_in_flight || now < stripe.due) continue;
     if (this->map.OwnerOf(i) == nullptr) continue;
@@ -132,9 +159,12 @@
   const auto now = this->clock.Now();
   auto& stripe = this->stripes[order.stripe];
   stripe.is_in_flight = false;
-  stripe.due = now + kRetry;
+  stripe.due = std::max(stripe.due, now + kRetry);
   // It may have reached the server until just now.
   stripe.held_until = std::max(stripe.held_until, this->LongestHold(now));
+  stripe.is_fence_used = true;
+  stripe.is_lost = false;
+  if (reply != GrantReply::kNoAnswer) this->NoteHeard(order.owner);
   if (reply == GrantReply::kAccepted) {
     stripe.due = now + this->timing.renewal;
     stripe.hand_over.clear();
@@ -147,8 +177,9 @@
   if (order.term != this->term) return;
   auto& stripe = this->stripes[order.stripe];
   stripe.is_in_flight = false;
-  stripe.due = this->clock.Now() + kRetry;
+  stripe.due = std::max(stripe.due, this->clock.Now() + kRetry);
   if (!reply.is_released) return;
+  this->NoteHeard(order.owner);
   stripe.phase = Phase::kVacant;
   stripe.hand_over = reply.hand_over;
 }
@@ -157,7 +188,7 @@
   if (order.term != this->term) return;
   auto& stripe = this->stripes[order.stripe];
   stripe.is_in_flight = false;
-  stripe.due = this->clock.Now() + kRetry;
+  stripe.due = std::max(stripe.due, this->clock.Now() + kRetry);
 }
 
 auto ServiceKeeper::Vacant() const -> std::vector<bool> {
@@ -173,7 +204,7 @@
   const auto moves =
       StripePlanner::Deal(this->map, this->Vacant(), this->servers);
   bool has_stale = false;
-  for (int i = 0; i < kStripeCount; ++i) {
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
     const auto& stripe = this->stripes[i];
     has_stale |= stripe.is_fence_stale && stripe.phase == Phase::kHeld;
   }
@@ -182,7 +213,7 @@
   for (const auto& move : moves) {
     this->planned.Assign(move.stripe, move.to, fence);
   }
-  for (int i = 0; i < kStripeCount; ++i) {
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
     const auto& stripe = this->stripes[i];
     if (!stripe.is_fence_stale || stripe.phase != Phase::kHeld) continue;
     this->planned.Assign(i, KeyOwner(*this->map.OwnerOf(i)), fence);
@@ -192,12 +223,14 @@
 
 auto ServiceKeeper::OnCommitted(StoreVersion version) -> void {
   const auto now = this->clock.Now();
-  for (int i = 0; i < kStripeCount; ++i) {
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
     if (this->planned.FenceOf(i) == this->map.FenceOf(i)) continue;
     auto& stripe = this->stripes[i];
     stripe.phase = Phase::kHeld;
     stripe.is_fence_stale = false;
+    stripe.is_fence_used = false;
     stripe.is_evened = false;
+    stripe.is_lost = false;
     stripe.due = now;
   }
   this->map = this->planned;
--- a/src/keys/service_keeper.h
+++ b/src/keys/service_keeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "keys/grant_client.h"
@@ -18,6 +19,8 @@
   Duration release_timeout = std::chrono::milliseconds(1500);
   /// A server's clock may count a hold this much too long.
   double slow_clock = 1.02;
+  /// A server that was not heard of for this long may have restarted.
+  Duration most_silence = std::chrono::milliseconds(900);
   Duration margin = std::chrono::milliseconds(200);
 };
 
@@ -50,11 +53,16 @@
                        const ServerId& id, std::chrono::milliseconds started)
       -> void;
 
+  /// The owner could not be reached. It may come back as another life that
+  /// knows nothing, before its entry says so; what it held is granted under a
+  /// higher token from here on. Call before the replies to what was sent.
+  auto OnContactLost(const KeyOwner& owner) -> void;
+
   /// @return calls that are due; each is answered by one of the On methods.
   auto TakeOrders() -> std::vector<KeyOrder>;
   auto OnGrantReply(const KeyOrder& order, GrantReply reply) -> void;
   auto OnReleaseReply(const KeyOrder& order, const ReleaseReply& reply) -> void;
-  /// The order was not sent after all.
+  /// The order cannot have reached the owner.
   auto OnNotSent(const KeyOrder& order) -> void;
 
   /// @return whether owners are to be changed; then PlannedMap says how.
@@ -77,7 +85,9 @@
   struct Stripe {
     Phase phase = Phase::kVacant;
     bool is_in_flight = false;
-    bool is_fence_stale = false;
+    bool is_fence_stale = false;  ///< A higher token has to be committed.
+    bool is_fence_used = false;   ///< A server may have seen the token.
+    bool is_lost = false;    ///< Nothing was granted since contact was lost.
     bool is_evened = false;  ///< It leaves a sound owner.
     TimePoint held_until{};  ///< Nobody can hold it after this.
     TimePoint due{};
@@ -88,6 +98,9 @@
   [[nodiscard]] auto IsSound(const KeyOwner& owner) const -> bool;
   auto UpdatePhases(TimePoint now) -> void;
   auto EvenOut(TimePoint now) -> void;
+  /// Treats owners that were silent for long like ones that were lost.
+  auto CheckSilence(TimePoint now) -> void;
+  auto NoteHeard(const KeyOwner& owner) -> void;
   [[nodiscard]] auto Vacant() const -> std::vector<bool>;
   auto MakeOrder(int stripe, KeyOrder::Kind kind) -> KeyOrder;
 
@@ -97,7 +110,9 @@
   OwnerMap planned;
   StoreVersion version = 0;
   std::vector<PlannedServer> servers;
-  std::vector<Stripe> stripes{kStripeCount};
+  std::vector<Stripe> stripes;
+  /// When each server last answered, by id, as long as it is in contact.
+  std::unordered_map<ServerId, TimePoint> heard_at;
   TimePoint evened_at{};
   int term = 0;
 };
--- a/src/keys/stripe_planner.cc
+++ b/src/keys/stripe_planner.cc
@@ -6,8 +6,8 @@
 namespace currantbeam {
 namespace {
 
-/// A server keeps what it has until it is this far above its part.
-constexpr double kTolerance = 1.06;
+/// Stripes move once a server is this far from its part.
+constexpr double kTolerance = 0.06;
 /// Walks the stripes in an order that spreads moves over the whole range; has
 /// no factor in common with the number of stripes.
 constexpr int kWalkStep = 1237;
@@ -21,9 +21,9 @@
     double sum = 0;
     for (const auto& server : servers) sum += server.weight;
     for (const auto& server : servers) {
-      this->quotas.push_back(kStripeCount * server.weight / sum);
+      this->quotas.push_back(map.StripeCount() * server.weight / sum);
     }
-    for (int stripe = 0; stripe < kStripeCount; ++stripe) {
+    for (int stripe = 0; stripe < map.StripeCount(); ++stripe) {
       const auto* owner = vacant[stripe] ? nullptr : map.OwnerOf(stripe);
       this->owners.push_back(this->Find(owner));
       if (this->owners.back() >= 0) ++this->counts[this->owners.back()];
@@ -47,8 +47,17 @@
     }
     return best;
   }
+  [[nodiscard]] auto IsUneven() const -> bool {
+    for (std::size_t i = 0; i < this->counts.size(); ++i) {
+      const auto quota = this->quotas[i];
+      if (std::abs(this->counts[i] - quota) > kTolerance * quota + 1) {
+        return true;
+      }
+    }
+    return false;
+  }
   [[nodiscard]] auto IsOverFull(int server) const -> bool {
-    return this->counts[server] > std::ceil(this->quotas[server] * kTolerance);
+    return this->counts[server] > std::ceil(this->quotas[server]);
   }
   [[nodiscard]] auto IsShort(int server) const -> bool {
     return this->counts[server] + 1 <= std::floor(this->quotas[server]);
@@ -69,8 +78,8 @@
   }
   [[nodiscard]] auto IsNeighbour(int stripe, int server) const -> bool {
     const bool before = stripe > 0 && this->owners[stripe - 1] == server;
-    const bool after =
-        stripe + 1 < kStripeCount && this->owners[stripe + 1] == server;
+    const bool after = stripe + 1 < static_cast<int>(this->owners.size()) &&
+                       this->owners[stripe + 1] == server;
     return this->servers.size() > 2 && (before || after);
   }
 
@@ -88,7 +97,7 @@
   std::vector<StripeMove> moves;
   if (servers.empty()) return moves;
   Shares shares(map, vacant, servers);
-  for (int stripe = 0; stripe < kStripeCount; ++stripe) {
+  for (int stripe = 0; stripe < map.StripeCount(); ++stripe) {
     if (!vacant[stripe]) continue;
     const auto to = shares.MostInNeed(stripe);
     shares.Move(stripe, to);
@@ -103,9 +112,10 @@
   std::vector<int> leaving;
   if (servers.empty()) return leaving;
   Shares shares(map, vacant, servers);
-  for (int i = 0; i < kStripeCount; ++i) {
+  if (!shares.IsUneven()) return leaving;
+  for (int i = 0; i < map.StripeCount(); ++i) {
     if (static_cast<int>(leaving.size()) >= most) break;
-    const int stripe = (i * kWalkStep) % kStripeCount;
+    const int stripe = (i * kWalkStep) % map.StripeCount();
     const int owner = shares.OwnerOf(stripe);
     if (owner < 0 || !shares.IsOverFull(owner)) continue;
     const int to = shares.MostInNeed(stripe);
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -145,7 +145,12 @@
          this->backends_listener.IsCurrent();
 }
 
+auto RouterProcess::RequestStop() -> void {
+  this->loop.Spawn([this] { this->Drain(); });
+}
+
 auto RouterProcess::Drain() -> void {
+  if (this->draining) return;
   const auto grace = this->settings.stop_grace;
   Log(events::kProcessDraining, "limit_ms=" + std::to_string(grace.count()));
   const auto began = this->clock.Now();
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -27,6 +27,8 @@
 
   /// Runs until the process is told to stop and its work has ended.
   auto Run() -> void;
+  /// Does what the signal to stop does; may be called from any thread.
+  auto RequestStop() -> void;
 
  private:
   /// Answers whether this host should get new connections.
--- a/src/runtime/fiber_loop.cc
+++ b/src/runtime/fiber_loop.cc
@@ -60,8 +60,11 @@
       // The fiber has unwound.
     }
   };
+  // A copy, as the fiber keeps it until its stack is freed, which may be when
+  // the thread's own pool has gone.
+  boost::fibers::pooled_fixedsize_stack stacks(StackPool());
   boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                       StackPool(), std::move(run))
+                       std::move(stacks), std::move(run))
       .detach();
 }
 
@@ -84,10 +87,16 @@
     boost::this_fiber::yield();
     Wakeup::StopAll();
   }
+  for (const auto& cleanup : this->cleanups) cleanup();
+  this->cleanups.clear();
   Wakeup::Restart();
   CurrentLoop() = nullptr;
 }
 
+auto FiberLoop::AtEnd(std::function<void()> cleanup) -> void {
+  this->cleanups.push_back(std::move(cleanup));
+}
+
 auto FiberLoop::Stop() -> void {
   this->stopped.store(true);
   boost::asio::post(this->io, [] {});
--- a/src/runtime/fiber_loop.h
+++ b/src/runtime/fiber_loop.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <functional>
+#include <vector>
 
 namespace currantbeam {
 
@@ -21,6 +22,9 @@
   auto Stop() -> void;
   /// Starts a fiber on the loop; may be called from any thread.
   auto Spawn(std::function<void()> body) -> void;
+  /// Has something done when the loop has ended and no fiber is left; call on
+  /// the loop.
+  auto AtEnd(std::function<void()> cleanup) -> void;
 
   /// @return the loop that the calling thread runs.
   static auto Current() -> FiberLoop&;
@@ -29,6 +33,7 @@
   boost::asio::io_context io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   std::atomic<bool> stopped{false};
+  std::vector<std::function<void()>> cleanups;
 };
 
 /// Lets the calling fiber sleep without blocking its loop.
--- /dev/null
+++ b/src/standins/wire/wire_store.cc
@@ -0,0 +1,145 @@
+#include "standins/wire/wire_store.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <websocketpp/base64/base64.hpp>
+
+namespace currantbeam {
+namespace {
+
+constexpr auto kPoll = std::chrono::milliseconds(5);
+
+/// @return a parameter of the query; empty if it is missing. The stand-in's
+///   users need no escapes.
+auto Parameter(const std::string& target, const std::string& name)
+    -> std::string {
+  const auto query = target.find('?');
+  if (query == std::string::npos) return {};
+  const std::string text = "&" + target.substr(query + 1);
+  const auto at = text.find("&" + name + "=");
+  if (at == std::string::npos) return {};
+  const auto begin = at + name.size() + 2;
+  return text.substr(begin, text.find('&', begin) - begin);
+}
+
+auto EncodeRows(const std::vector<StoreRow>& rows) -> nlohmann::json {
+  auto json = nlohmann::json::array();
+  for (const auto& row : rows) {
+    nlohmann::json one = {{"table", row.name.table},
+                          {"part", row.name.partition},
+                          {"key", row.name.key},
+                          {"ver", row.version}};
+    if (row.is_deleted) {
+      one["deleted"] = true;
+    } else {
+      one["value"] = websocketpp::base64_encode(row.value);
+    }
+    json.push_back(std::move(one));
+  }
+  return json;
+}
+
+auto DecodeName(const nlohmann::json& json) -> RowName {
+  return {json.at("table").get<std::string>(), json.value("part", ""),
+          json.at("key").get<std::string>()};
+}
+
+auto Json(http::status status, const nlohmann::json& body) -> HttpResponse {
+  HttpResponse response{status, 11};
+  response.set(http::field::content_type, "application/json");
+  response.body() = body.dump();
+  return response;
+}
+
+auto EncodeBatch(const RowBatch& batch) -> nlohmann::json {
+  return {{"rows", EncodeRows(batch.rows)},
+          {"truncated", false},
+          {"ver", batch.version},
+          {"nowS", std::chrono::duration<double>(batch.store_time).count()}};
+}
+
+}  // namespace
+
+auto WireStore::Put(const RowName& name, const std::string& value) -> void {
+  this->store.Put(name, value);
+}
+
+auto WireStore::Remove(const RowName& name) -> void {
+  this->store.Remove(name);
+}
+
+auto WireStore::Handle(HttpExchange& exchange) -> void {
+  ++this->calls;
+  while (this->is_silent && !exchange.IsClientGone()) SleepFor(kPoll);
+  if (this->is_busy) {
+    exchange.Send(HttpResponse{http::status::service_unavailable, 11});
+    return;
+  }
+  exchange.Send(this->Answer(exchange.Request()));
+}
+
+auto WireStore::Answer(const HttpRequest& request) -> HttpResponse {
+  const std::string target(request.target());
+  const auto path = target.substr(0, target.find('?'));
+  try {
+    if (path == "/rows-tx") return this->Transact(request.body());
+    if (path == "/rows-feed") return this->Feed(target);
+    if (path == "/rows-get") {
+      const auto batch = this->store.Read(Parameter(target, "table"),
+                                          Parameter(target, "part"));
+      return Json(http::status::ok, EncodeBatch(batch));
+    }
+  } catch (const nlohmann::json::exception& error) {
+    return Json(http::status::bad_request, {{"error", error.what()}});
+  }
+  return Json(http::status::not_found, {{"error", "no such call"}});
+}
+
+auto WireStore::Feed(const std::string& target) -> HttpResponse {
+  const auto table = Parameter(target, "table");
+  const auto after =
+      std::strtoull(Parameter(target, "after").c_str(), nullptr, 10);
+  const std::chrono::milliseconds wait(
+      std::strtol(Parameter(target, "waitMs").c_str(), nullptr, 10));
+  const auto until = this->clock.Now() + wait;
+  while (true) {
+    try {
+      const auto batch = this->store.Follow(table, after, wait);
+      const bool is_due = !batch.rows.empty() || this->clock.Now() >= until;
+      if (is_due || this->is_busy) {
+        return Json(http::status::ok, EncodeBatch(batch));
+      }
+    } catch (const HistoryLost&) {
+      return Json(http::status::gone, {{"error", "history"}});
+    }
+    SleepFor(kPoll);
+  }
+}
+
+auto WireStore::Transact(const std::string& body) -> HttpResponse {
+  const auto json = nlohmann::json::parse(body);
+  StoreWrite write;
+  for (const auto& condition : json.at("expect")) {
+    write.conditions.push_back(
+        {DecodeName(condition), condition.at("ver").get<StoreVersion>()});
+  }
+  for (const auto& put : json.at("puts")) {
+    const auto value = put.at("value").get<std::string>();
+    write.puts.push_back(
+        {DecodeName(put), websocketpp::base64_decode(value), 0, false});
+  }
+  for (const auto& removal : json.at("remove")) {
+    write.removals.push_back(DecodeName(removal));
+  }
+  const auto result = this->store.Write(write);
+  const auto now = std::chrono::duration<double>(result.store_time).count();
+  if (result.outcome == WriteOutcome::kWritten) {
+    return Json(http::status::ok, {{"ver", result.version}, {"nowS", now}});
+  }
+  return Json(http::status::precondition_failed,
+              {{"rows", EncodeRows(result.rows)}, {"nowS", now}});
+}
+
+auto WireStore::OnBadInput(const std::string& /*what*/) -> void {}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/tests/keys/keys_test.cc
@@ -0,0 +1,189 @@
+#include "keys/keys.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "store/store.h"
+
+namespace currantbeam {
+namespace {
+
+auto MakeOwner(int number) -> KeyOwner {
+  return {ServerId("s" + std::to_string(number)),
+          std::chrono::milliseconds(1000 + number), "10.0.0.1",
+          static_cast<std::uint16_t>(8000 + number)};
+}
+
+auto MakeServers(int count) -> std::vector<PlannedServer> {
+  std::vector<PlannedServer> servers;
+  for (int i = 0; i < count; ++i) servers.push_back({MakeOwner(i), 4});
+  return servers;
+}
+
+auto DealAll(OwnerMap& map, const std::vector<PlannedServer>& servers) -> void {
+  const std::vector<bool> vacant(map.StripeCount(), true);
+  const auto fence = map.NextFence();
+  for (const auto& move : StripePlanner::Deal(map, vacant, servers)) {
+    map.Assign(move.stripe, move.to, fence);
+  }
+}
+
+auto CountStripes(const OwnerMap& map) -> std::map<std::string, int> {
+  std::map<std::string, int> counts;
+  for (int i = 0; i < map.StripeCount(); ++i) {
+    ++counts[map.OwnerOf(i)->id.Value()];
+  }
+  return counts;
+}
+
+TEST(OwnerMap, ComesBackFromItsStoredForm) {
+  rc::check("decode(encode(map)) is the map", [] {
+    OwnerMap map(64);
+    const auto moves = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 64), rc::gen::inRange(0, 9)));
+    for (const auto& [stripe, server] : moves) {
+      map.Assign(stripe, MakeOwner(server), map.NextFence());
+    }
+    const auto back = OwnerMap::Decode(map.Encode());
+    RC_ASSERT(back.LastFence() == map.LastFence());
+    for (int i = 0; i < map.StripeCount(); ++i) {
+      RC_ASSERT(back.FenceOf(i) == map.FenceOf(i));
+      RC_ASSERT((back.OwnerOf(i) == nullptr) == (map.OwnerOf(i) == nullptr));
+      if (map.OwnerOf(i) == nullptr) continue;
+      RC_ASSERT(*back.OwnerOf(i) == *map.OwnerOf(i));
+    }
+  });
+}
+
+TEST(OwnerMap, RefusesWhatIsNoMap) {
+  EXPECT_THROW(OwnerMap::Decode(""), InputError);
+  EXPECT_THROW(OwnerMap::Decode("not cbor at all"), InputError);
+  OwnerMap map(4);
+  map.Assign(2, MakeOwner(1), 1);
+  const auto text = map.Encode();
+  for (std::size_t length = 0; length < text.size(); ++length) {
+    EXPECT_THROW(OwnerMap::Decode(text.substr(0, length)), InputError);
+  }
+}
+
+TEST(OwnerMap, FindsOwnersByKey) {
+  OwnerMap map(4);
+  map.Assign(1, MakeOwner(7), 1);
+  EXPECT_EQ(map.KeysOf(1).first, 16384);
+  EXPECT_EQ(map.KeysOf(1).last, 32767);
+  EXPECT_EQ(map.OwnerOfKey(16384)->id, ServerId("s7"));
+  EXPECT_EQ(map.OwnerOfKey(32767)->id, ServerId("s7"));
+  EXPECT_EQ(map.OwnerOfKey(32768), nullptr);
+}
+
+TEST(StripePlanner, SharesNeighbouringKeysAmongManyServers) {
+  for (const int count : {3, 9, 16, 40}) {
+    OwnerMap map;
+    DealAll(map, MakeServers(count));
+    const int stripes = 200 * map.StripeCount() / kKeyCount;
+    for (int first = 0; first + stripes <= map.StripeCount(); ++first) {
+      std::set<std::string> owners;
+      for (int i = first; i < first + stripes; ++i) {
+        owners.insert(map.OwnerOf(i)->id.Value());
+      }
+      EXPECT_GE(static_cast<int>(owners.size()), std::min(count, stripes) - 1);
+    }
+  }
+}
+
+TEST(StripePlanner, DealsByWeight) {
+  auto servers = MakeServers(4);
+  servers[0].weight = 12;
+  OwnerMap map;
+  DealAll(map, servers);
+  const auto counts = CountStripes(map);
+  EXPECT_NEAR(counts.at("s0"), map.StripeCount() / 2, 8);
+  EXPECT_NEAR(counts.at("s1"), map.StripeCount() / 6, 8);
+}
+
+TEST(StripePlanner, MovesToAServerThatJoinsOnlyItsPart) {
+  OwnerMap map;
+  DealAll(map, MakeServers(9));
+  const std::vector<bool> vacant(map.StripeCount(), false);
+  const auto leaving =
+      StripePlanner::Even(map, vacant, MakeServers(10), map.StripeCount());
+  EXPECT_NEAR(static_cast<int>(leaving.size()), map.StripeCount() / 10,
+              map.StripeCount() / 50);
+  EXPECT_TRUE(
+      StripePlanner::Even(map, vacant, MakeServers(9), map.StripeCount())
+          .empty());
+}
+
+TEST(StripePlanner, MovesNothingElseWhenAServerLeaves) {
+  OwnerMap map;
+  DealAll(map, MakeServers(9));
+  const auto rest = MakeServers(8);
+  std::vector<bool> vacant(map.StripeCount());
+  int lost = 0;
+  for (int i = 0; i < map.StripeCount(); ++i) {
+    vacant[i] = map.OwnerOf(i)->id == ServerId("s8");
+    lost += vacant[i] ? 1 : 0;
+  }
+  const auto moves = StripePlanner::Deal(map, vacant, rest);
+  EXPECT_EQ(static_cast<int>(moves.size()), lost);
+  for (const auto& move : moves) EXPECT_TRUE(vacant[move.stripe]);
+}
+
+class KeeperLeaseTest : public testing::Test {
+ protected:
+  ManualClock clock;
+  MemoryStore store{this->clock};
+  KeeperLease a{this->store, this->clock, {"a"}};
+  KeeperLease b{this->store, this->clock, {"b"}};
+};
+
+TEST_F(KeeperLeaseTest, OneHolderUntilItResigns) {
+  this->a.Step();
+  EXPECT_TRUE(this->a.IsHeld());
+  this->b.Step();
+  EXPECT_FALSE(this->b.IsHeld());
+  this->a.Resign();
+  EXPECT_FALSE(this->a.IsHeld());
+  this->b.Step();
+  EXPECT_TRUE(this->b.IsHeld());
+}
+
+TEST_F(KeeperLeaseTest, PassesToAnotherWhenItRunsOut) {
+  this->a.Step();
+  const auto wait = this->b.Step();
+  EXPECT_LE(wait, std::chrono::milliseconds(4300));
+  this->clock.Advance(wait);
+  EXPECT_FALSE(this->a.IsHeld());
+  this->b.Step();
+  EXPECT_TRUE(this->b.IsHeld());
+}
+
+TEST_F(KeeperLeaseTest, EndsWhileTheStoreIsDown) {
+  this->a.Step();
+  this->store.SetDown(true);
+  for (int i = 0; i < 40; ++i) {
+    this->clock.Advance(std::chrono::milliseconds(100));
+    this->a.Step();
+  }
+  EXPECT_FALSE(this->a.IsHeld());
+  this->store.SetDown(false);
+  this->a.Step();
+  EXPECT_TRUE(this->a.IsHeld());
+  EXPECT_EQ(this->a.Term(), 2);
+}
+
+TEST_F(KeeperLeaseTest, GoesOnAfterAnAnswerWasLost) {
+  this->a.Step();
+  this->store.LoseAnswers(1);
+  this->clock.Advance(std::chrono::milliseconds(1300));
+  for (int i = 0; i < 4; ++i) this->clock.Advance(this->a.Step());
+  EXPECT_TRUE(this->a.IsHeld());
+  EXPECT_EQ(this->a.Term(), 1);
+}
+
+}  // namespace
+}  // namespace currantbeam
--- /dev/null
+++ b/tests/platform_wire/forwarding_test.cc
@@ -0,0 +1,329 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "fiber_test.h"
+#include "platform_wire/wire_fleet.h"
+
+namespace currantbeam {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A router with two plain and two keyed servers.
+class Forwarding : public testing::Test {
+ protected:
+  WireFleet fleet{27300};
+};
+
+TEST_F(Forwarding, ReturnsTheServersWholeAnswer) {
+  this->fleet.Run([&] {
+    const auto response = this->fleet.Send("/safe/a", "id-1");
+    EXPECT_EQ(response.result_int(), 200);
+    EXPECT_EQ(response.body(), std::string(100, 'b'));
+    EXPECT_EQ(response["X-Request-Id"], "id-1");
+    EXPECT_FALSE(response["X-Backend-Seal"].empty());
+    EXPECT_EQ(this->fleet.RunsOf("id-1"), 1);
+  });
+}
+
+TEST_F(Forwarding, StreamsAnswersThatAreLarge) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.body_bytes = 500'000;
+    }
+    const auto response = this->fleet.Send("/file/a", "id-1");
+    EXPECT_EQ(response.result_int(), 200);
+    EXPECT_EQ(response.body().size(), 500'000U);
+  });
+}
+
+TEST_F(Forwarding, KnowsNoRouteBeyondTheConfiguration) {
+  this->fleet.Run([&] {
+    EXPECT_EQ(this->fleet.Send("/other/a", "id-1").result_int(), 404);
+    EXPECT_EQ(this->fleet.Send("/safe", "id-2").result_int(), 404);
+  });
+}
+
+TEST_F(Forwarding, TakesANewConfigurationAtOnceAndNeverAnOlderOne) {
+  this->fleet.Run([&] {
+    const std::string added =
+        R"(,{"name":"n","prefix":"/new/","type":"safe","timeoutS":1,
+           "latencyTargetS":0.3,"priority":1,"service":"plain",
+           "maxAttempts":1})";
+    const auto serves_new = [&](const std::string& id) {
+      return this->fleet.Send("/new/a", id).result_int() == 200;
+    };
+    EXPECT_FALSE(serves_new("id-1"));
+    this->fleet.PutRoutes(7, added);
+    EXPECT_TRUE(WireFleet::Await([&] { return serves_new("id-2"); }));
+    this->fleet.PutRoutes(6);
+    this->fleet.Store().Put({"op", "", "config"}, "{\"version\": 8, cut");
+    SleepFor(milliseconds(100));
+    EXPECT_TRUE(serves_new("id-3"));
+  });
+}
+
+TEST_F(Forwarding, RepeatsIdempotentRequestsWhoseAnswerIsLost) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.lose_answers = 1;
+    }
+    const auto response = this->fleet.Send("/safe/a", "id-1");
+    EXPECT_EQ(response.result_int(), 502) << "both servers lost the answer";
+    EXPECT_EQ(this->fleet.RunsOf("id-1"), 2);
+    EXPECT_EQ(this->fleet.Send("/safe/a", "id-2").result_int(), 200);
+  });
+}
+
+TEST_F(Forwarding, RepeatsIdempotentRequestsWhoseAnswerBreaksOff) {
+  this->fleet.Run([&] {
+    this->fleet.Backend(0).behaviour.cut_answers = 1;
+    for (int i = 0; i < 8; ++i) {
+      const auto id = "id-" + std::to_string(i);
+      const auto response = this->fleet.Send("/safe/a", id);
+      EXPECT_EQ(response.result_int(), 200);
+      EXPECT_EQ(response.body().size(), 100U);
+    }
+  });
+}
+
+TEST_F(Forwarding, RunsNonIdempotentRequestsOnce) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.lose_answers = 1;
+    }
+    for (int i = 0; i < 4; ++i) {
+      const auto id = "id-" + std::to_string(i);
+      const auto response = this->fleet.Send("/order/a", id, http::verb::post);
+      const int runs = this->fleet.RunsOf(id);
+      EXPECT_EQ(runs, 1);
+      EXPECT_TRUE(response.result_int() == 200 || response.result_int() == 502);
+    }
+  });
+}
+
+TEST_F(Forwarding, SaysNotRunOnlyOfWhatHasNotRun) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.slots = 0;
+      this->fleet.Backend(i).behaviour.queue = 0;
+    }
+    const auto response =
+        this->fleet.Send("/order/a", "id-1", http::verb::post);
+    EXPECT_EQ(response.result_int(), 503);
+    EXPECT_FALSE(response[http::field::retry_after].empty());
+    EXPECT_EQ(this->fleet.RunsOf("id-1"), 0);
+  });
+}
+
+TEST_F(Forwarding, SkipsAnswersThatBelongToNoRequest) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.extra_answers = 3;
+    }
+    for (int i = 0; i < 8; ++i) {
+      const auto id = "id-" + std::to_string(i);
+      const auto response = this->fleet.Send("/safe/a", id);
+      EXPECT_EQ(response.result_int(), 200);
+      EXPECT_EQ(response["X-Request-Id"], id);
+    }
+  });
+}
+
+TEST_F(Forwarding, HandsOnWhatIsLeftOfTheDeadline) {
+  this->fleet.Run([&] {
+    this->fleet.Send("/safe/a", "id-1", http::verb::get, -1, milliseconds(700));
+    this->fleet.Send("/short/a", "id-2", http::verb::get, -1,
+                     milliseconds(700));
+    std::vector<int> deadlines = this->fleet.Backend(0).Deadlines();
+    const auto more = this->fleet.Backend(1).Deadlines();
+    deadlines.insert(deadlines.end(), more.begin(), more.end());
+    std::sort(deadlines.begin(), deadlines.end());
+    ASSERT_EQ(deadlines.size(), 2U);
+    EXPECT_GT(deadlines[0], 0);
+    EXPECT_LE(deadlines[0], 200);
+    EXPECT_GT(deadlines[1], 200);
+    EXPECT_LE(deadlines[1], 700);
+  });
+}
+
+TEST_F(Forwarding, AnswersAtTheRoutesTimeout) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.work = milliseconds(3000);
+    }
+    EXPECT_EQ(this->fleet.Send("/short/a", "id-1").result_int(), 504);
+  });
+}
+
+TEST_F(Forwarding, StopsTheServersWorkWhenTheCallerLeaves) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.work = milliseconds(5000);
+    }
+    {
+      HttpConnection caller("127.0.0.1", this->fleet.CallersPort());
+      caller.Connect(std::chrono::seconds(1));
+      HttpRequest request{http::verb::get, "/safe/a", 11};
+      request.set(http::field::host, "h.example");
+      request.set("X-Request-Id", "id-1");
+      request.set("X-Deadline-Ms", "5000");
+      caller.Send(request, std::chrono::seconds(1));
+      EXPECT_TRUE(
+          WireFleet::Await([&] { return this->fleet.RunsOf("id-1") == 1; }));
+    }
+    EXPECT_TRUE(WireFleet::Await([&] {
+      return this->fleet.Backend(0).Abandoned() +
+                 this->fleet.Backend(1).Abandoned() ==
+             1;
+    }));
+  });
+}
+
+TEST_F(Forwarding, SendsNothingToServersThatDrainOrHaveGone) {
+  this->fleet.Run([&] {
+    this->fleet.Register(0, true);
+    SleepFor(milliseconds(400));
+    for (int i = 0; i < 10; ++i) {
+      EXPECT_EQ(
+          this->fleet.Send("/safe/a", "id-" + std::to_string(i)).result_int(),
+          200);
+    }
+    EXPECT_TRUE(this->fleet.Backend(0).Runs().empty());
+    this->fleet.Register(0);
+    this->fleet.Unregister(1);
+    SleepFor(milliseconds(400));
+    const auto before = this->fleet.Backend(1).Runs().size();
+    this->fleet.Send("/safe/a", "id-x");
+    EXPECT_EQ(this->fleet.Backend(1).Runs().size(), before);
+    EXPECT_EQ(this->fleet.RunsOf("id-x"), 1);
+  });
+}
+
+TEST_F(Forwarding, ServesKeysOnceTheyAreGranted) {
+  this->fleet.Run([&] {
+    const auto served = [&](int key) {
+      return this->fleet
+                 .Send("/keyed/a", "id-" + std::to_string(key), http::verb::get,
+                       key)
+                 .result_int() == 200;
+    };
+    EXPECT_TRUE(WireFleet::Await([&] { return served(0); }));
+    EXPECT_TRUE(WireFleet::Await([&] {
+      return this->fleet.Backend(2).HeldKeys() +
+                 this->fleet.Backend(3).HeldKeys() ==
+             kKeyCount;
+    }));
+    for (int key = 0; key < kKeyCount; key += 6000) EXPECT_TRUE(served(key));
+  });
+}
+
+TEST_F(Forwarding, MovesTheKeysOfAServerThatDrains) {
+  this->fleet.Run([&] {
+    const auto held = [&](int number) {
+      return this->fleet.Backend(number).HeldKeys();
+    };
+    EXPECT_TRUE(
+        WireFleet::Await([&] { return held(2) + held(3) == kKeyCount; }));
+    this->fleet.Register(2, true);
+    EXPECT_TRUE(WireFleet::Await([&] { return held(3) == kKeyCount; }));
+    EXPECT_EQ(held(2), 0);
+    const auto response =
+        this->fleet.Send("/keyed/a", "id-1", http::verb::get, 1);
+    EXPECT_EQ(response.result_int(), 200);
+  });
+}
+
+TEST_F(Forwarding, GoesOnWhileTheStoreIsAway) {
+  this->fleet.Run([&] {
+    EXPECT_EQ(this->fleet.Send("/safe/a", "id-1").result_int(), 200);
+    this->fleet.Store().SetBusy(true);
+    SleepFor(milliseconds(300));
+    EXPECT_EQ(this->fleet.Send("/safe/a", "id-2").result_int(), 200);
+    this->fleet.Store().SetBusy(false);
+    this->fleet.Store().DropHistory();
+    const std::string added =
+        R"(,{"name":"n","prefix":"/new/","type":"safe","timeoutS":1,
+           "latencyTargetS":0.3,"priority":1,"service":"plain",
+           "maxAttempts":1})";
+    this->fleet.PutRoutes(2, added);
+    EXPECT_TRUE(WireFleet::Await([&] {
+      return this->fleet.Send("/new/a", "id-3").result_int() == 200;
+    }));
+  });
+}
+
+TEST_F(Forwarding, EndsWithoutCuttingRequestsWhenItIsStopped) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.work = milliseconds(300);
+    }
+    int answered = 0;
+    int started = 0;
+    for (int i = 0; i < 6; ++i) {
+      ++started;
+      FiberLoop::Current().Spawn([&, i] {
+        SleepFor(milliseconds(70 * i));
+        const auto id = "id-" + std::to_string(i);
+        if (this->fleet.Send("/safe/a", id).result_int() == 200) ++answered;
+      });
+    }
+    SleepFor(milliseconds(100));
+    this->fleet.StopRouter();
+    EXPECT_TRUE(WireFleet::Await([&] { return this->fleet.HasRouterEnded(); }));
+    EXPECT_TRUE(WireFleet::Await([&] { return answered == started; }));
+  });
+}
+
+TEST_F(Forwarding, ClosesKeptConnectionsWhenItIsStopped) {
+  this->fleet.Run([&] {
+    std::vector<std::unique_ptr<HttpConnection>> kept;
+    for (int i = 0; i < 5; ++i) {
+      kept.push_back(std::make_unique<HttpConnection>(
+          "127.0.0.1", this->fleet.CallersPort()));
+      kept.back()->Connect(std::chrono::seconds(1));
+      HttpRequest request{http::verb::get, "/safe/a", 11};
+      request.set(http::field::host, "h.example");
+      request.set("X-Request-Id", "id-" + std::to_string(i));
+      kept.back()->Exchange(request, std::chrono::seconds(1));
+      while (!kept.back()->ReadBody(std::chrono::seconds(1)).empty()) {
+      }
+      EXPECT_FALSE(kept.back()->IsStale());
+    }
+    this->fleet.StopRouter();
+    EXPECT_TRUE(WireFleet::Await([&] { return this->fleet.HasRouterEnded(); }));
+    for (const auto& connection : kept) EXPECT_TRUE(connection->IsStale());
+  });
+}
+
+TEST_F(Forwarding, RefusesRequestsThatCouldBeReadInTwoWays) {
+  this->fleet.Run([&] {
+    const std::vector<std::string> heads = {
+        "POST /safe/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
+        "Content-Length: 5\r\n\r\nabcde",
+        "POST /safe/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET /safe/a HTTP/1.1\r\nHost : h.example\r\n\r\n",
+        "GET /safe/a\r\n\r\n"};
+    for (const auto& head : heads) {
+      const auto answer = this->fleet.SendRaw(head);
+      EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << head;
+    }
+    const auto large =
+        this->fleet.SendRaw("GET /safe/a HTTP/1.1\r\nHost: h.example\r\nA: " +
+                            std::string(8000, 'a') + "\r\n\r\n");
+    EXPECT_EQ(large.substr(0, 12), "HTTP/1.1 431");
+    const auto body = this->fleet.SendRaw(
+        "POST /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+        "Content-Length: 999999\r\n\r\n");
+    EXPECT_EQ(body.substr(0, 12), "HTTP/1.1 413");
+    const auto late = this->fleet.SendRaw("GET /safe/a HTTP/1.1\r\nHost:");
+    EXPECT_EQ(late.substr(0, 12), "HTTP/1.1 408");
+    EXPECT_TRUE(this->fleet.Backend(0).Runs().empty());
+    EXPECT_TRUE(this->fleet.Backend(1).Runs().empty());
+  });
+}
+
+}  // namespace
+}  // namespace currantbeam
--- /dev/null
+++ b/tests/platform_wire/wire_fleet.cc
@@ -0,0 +1,181 @@
+#include "platform_wire/wire_fleet.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+
+#include "fiber_test.h"
+#include "wire.h"
+
+namespace currantbeam {
+namespace {
+
+constexpr int kBackends = 4;
+constexpr auto kPatience = std::chrono::seconds(10);
+constexpr auto kPoll = std::chrono::milliseconds(5);
+
+auto RoutesJson(int version, const std::string& extra_route) -> std::string {
+  return R"({"version":)" + std::to_string(version) + R"(,"services":[
+    {"name":"plain","healthPath":"/health","maxConns":110,"sharded":false},
+    {"name":"keyed","healthPath":"/health","maxConns":110,"sharded":true,
+     "warmS":3.0}],
+    "limits":{"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeoutS":0.5,
+              "idleTimeoutS":5},
+    "hosts":[{"host":"h.example","paths":[
+      {"name":"r1","prefix":"/safe/","type":"safe","timeoutS":2,
+       "latencyTargetS":0.3,"priority":1,"service":"plain","maxAttempts":2},
+      {"name":"r2","prefix":"/order/","type":"unsafe","timeoutS":2,
+       "latencyTargetS":0.3,"priority":1,"service":"plain","maxAttempts":2},
+      {"name":"r3","prefix":"/file/","type":"download","timeoutS":2,
+       "latencyTargetS":0.3,"priority":1,"service":"plain","maxAttempts":2},
+      {"name":"r4","prefix":"/keyed/","type":"safe","timeoutS":2,
+       "latencyTargetS":0.3,"priority":1,"service":"keyed","maxAttempts":2},
+      {"name":"r5","prefix":"/short/","type":"safe","timeoutS":0.2,
+       "latencyTargetS":0.1,"priority":1,"service":"plain","maxAttempts":1})" +
+         extra_route + "]}]}";
+}
+
+}  // namespace
+
+WireFleet::WireFleet(std::uint16_t base_port) {
+  this->settings.host = HostId("front-1");
+  this->settings.domain = FailureDomain("x");
+  this->settings.callers = {"127.0.0.1", base_port};
+  this->settings.readiness = {"127.0.0.1",
+                              static_cast<std::uint16_t>(base_port + 1)};
+  this->settings.store = {"127.0.0.1",
+                          static_cast<std::uint16_t>(base_port + 2)};
+  this->settings.stop_grace = std::chrono::milliseconds(1000);
+  this->client = std::make_unique<TableStoreClient>(this->settings.store);
+  this->ports.push_back(std::make_unique<HttpServer>(
+      LocalOptions(this->settings.store.port), this->store));
+  for (int i = 0; i < kBackends; ++i) {
+    this->backends.push_back(
+        std::make_unique<WireBackend>("i-" + std::to_string(i)));
+    this->backends.back()->behaviour.is_keyed = i >= 2;
+    this->ports.push_back(std::make_unique<HttpServer>(
+        LocalOptions(static_cast<std::uint16_t>(base_port + 10 + i)),
+        *this->backends.back()));
+    this->Register(i);
+  }
+  this->PutRoutes(1);
+}
+
+auto WireFleet::Register(int number, bool is_draining) -> void {
+  const auto port = this->settings.callers.port + 10 + number;
+  const nlohmann::json entry = {{"service", number < 2 ? "plain" : "keyed"},
+                                {"addr", "127.0.0.1:" + std::to_string(port)},
+                                {"zone", "x"},
+                                {"version", "v1"},
+                                {"slots", 4},
+                                {"state", is_draining ? "draining" : "ready"},
+                                {"coldLeftS", 0},
+                                {"seq", 1},
+                                {"born", 1700000000000 + number}};
+  this->store.Put({"servers", "", "i-" + std::to_string(number)}, entry.dump());
+}
+
+auto WireFleet::Unregister(int number) -> void {
+  this->store.Remove({"servers", "", "i-" + std::to_string(number)});
+}
+
+auto WireFleet::PutRoutes(int version, const std::string& extra_route) -> void {
+  this->store.Put({"op", "", "config"}, RoutesJson(version, extra_route));
+}
+
+auto WireFleet::Run(const std::function<void()>& body) -> void {
+  std::thread standins([&] {
+    for (auto& port : this->ports) port->Listen(this->loop);
+    this->loop.Run();
+  });
+  this->router = std::make_unique<RouterProcess>(
+      this->settings, RouterPeers{*this->client, this->grants, this->schema,
+                                  this->fixed, wire::Headers()});
+  std::thread process([&] {
+    this->router->Run();
+    this->router_ended = true;
+  });
+  std::atomic<bool> is_done{false};
+  this->loop.Spawn([&] {
+    Await([&] { return this->IsReady(); });
+    body();
+    is_done = true;
+  });
+  while (!is_done) std::this_thread::sleep_for(kPoll);
+  this->router->RequestStop();
+  process.join();
+  this->loop.Stop();
+  standins.join();
+}
+
+auto WireFleet::Await(const std::function<bool()>& condition) -> bool {
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  while (std::chrono::steady_clock::now() < until) {
+    if (condition()) return true;
+    SleepFor(kPoll);
+  }
+  return false;
+}
+
+auto WireFleet::IsReady() -> bool {
+  try {
+    const auto response = Fetch(
+        this->settings.readiness.address, this->settings.readiness.port,
+        HttpRequest{http::verb::get, "/ready", 11}, std::chrono::seconds(1));
+    return response.result() == http::status::ok;
+  } catch (const RequestError&) {
+    return false;
+  }
+}
+
+auto WireFleet::Send(const std::string& path, const std::string& id,
+                     http::verb method, int key,
+                     std::chrono::milliseconds deadline) -> HttpResponse {
+  HttpRequest request{method, path, 11};
+  request.set(http::field::host, "h.example");
+  request.set("X-Request-Id", id);
+  request.set("X-Deadline-Ms", std::to_string(deadline.count()));
+  if (key >= 0) request.set("X-Shard-Key", std::to_string(key));
+  if (method == http::verb::post) request.body() = "order";
+  request.prepare_payload();
+  HttpConnection connection("127.0.0.1", this->settings.callers.port);
+  connection.Connect(std::chrono::seconds(1));
+  HttpResponse response;
+  response.base() = connection.Exchange(request, std::chrono::seconds(5));
+  while (true) {
+    const auto part = connection.ReadBody(std::chrono::seconds(5));
+    if (part.empty()) return response;
+    response.body().append(part);
+  }
+}
+
+auto WireFleet::SendRaw(const std::string& bytes) -> std::string {
+  namespace asio = boost::asio;
+  TcpSocket socket(this->loop.Io().get_executor());
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
+                                         this->settings.callers.port);
+  currantbeam::Await(
+      [&](auto handler) { socket.async_connect(endpoint, handler); });
+  currantbeam::Await([&](auto handler) {
+    asio::async_write(socket, asio::buffer(bytes), handler);
+  });
+  std::string answer;
+  std::array<char, 1024> part{};
+  while (true) {
+    const auto result = currantbeam::Await([&](auto handler) {
+      socket.async_read_some(asio::buffer(part), handler);
+    });
+    if (result.error) return answer;
+    answer.append(part.data(), result.bytes);
+  }
+}
+
+auto WireFleet::RunsOf(const std::string& id) const -> int {
+  int runs = 0;
+  for (const auto& backend : this->backends) {
+    const auto it = backend->Runs().find(id);
+    if (it != backend->Runs().end()) runs += it->second;
+  }
+  return runs;
+}
+
+}  // namespace currantbeam
