--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -14,7 +14,7 @@
 constexpr double kRefusedFactor = 0.7;
 constexpr double kSlowFactor = 0.9;
 /// Multiple of the target beyond which an answer counts as a sign of a queue.
-constexpr double kSlowTargets = 1.5;
+constexpr double kSlowTargets = 0.8;
 constexpr double kLeastLimit = 1.0;
 /// Requests out at a time for each slot, at the most, from one gateway.
 constexpr double kLimitPerSlot = 2.0;
--- a/src/keys/service_keeper.cc
+++ b/src/keys/service_keeper.cc
@@ -1,10 +1,13 @@
 #include "keys/service_keeper.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace currantbeam {
 namespace {
 
+/// Multiples of this, without their whole part, spread evenly over [0, 1).
+constexpr double kGoldenRatio = 0.6180339887498949;
 constexpr auto kRetry = std::chrono::milliseconds(300);
 constexpr auto kEvenInterval = std::chrono::milliseconds(500);
 /// Stripes of sound owners that move at a time.
@@ -166,12 +169,22 @@
   stripe.is_lost = false;
   if (reply != GrantReply::kNoAnswer) this->NoteHeard(order.owner);
   if (reply == GrantReply::kAccepted) {
-    stripe.due = now + this->timing.renewal;
+    stripe.due = now + this->RenewalAfter(order.stripe, stripe.is_new);
+    stripe.is_new = false;
     stripe.hand_over.clear();
   }
   if (reply == GrantReply::kStaleFence) stripe.is_fence_stale = true;
 }
 
+auto ServiceKeeper::RenewalAfter(int stripe, bool is_new) const -> Duration {
+  if (!is_new) return this->timing.renewal;
+  // Stripes that are granted at the same time are renewed at different ones,
+  // so that each server is heard of all the time.
+  const double part = std::fmod(stripe * kGoldenRatio, 1.0);
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(this->timing.renewal.count()) * part));
+}
+
 auto ServiceKeeper::OnReleaseReply(const KeyOrder& order,
                                    const ReleaseReply& reply) -> void {
   if (order.term != this->term) return;
@@ -231,6 +244,7 @@
     stripe.is_fence_used = false;
     stripe.is_evened = false;
     stripe.is_lost = false;
+    stripe.is_new = true;
     stripe.due = now;
   }
   this->map = this->planned;
--- a/src/keys/service_keeper.h
+++ b/src/keys/service_keeper.h
@@ -85,6 +85,7 @@
   struct Stripe {
     Phase phase = Phase::kVacant;
     bool is_in_flight = false;
+    bool is_new = true;           ///< Not granted yet under its token.
     bool is_fence_stale = false;  ///< A higher token has to be committed.
     bool is_fence_used = false;   ///< A server may have seen the token.
     bool is_lost = false;    ///< Nothing was granted since contact was lost.
@@ -96,6 +97,7 @@
 
   [[nodiscard]] auto LongestHold(TimePoint sent) const -> TimePoint;
   [[nodiscard]] auto IsSound(const KeyOwner& owner) const -> bool;
+  [[nodiscard]] auto RenewalAfter(int stripe, bool is_new) const -> Duration;
   auto UpdatePhases(TimePoint now) -> void;
   auto EvenOut(TimePoint now) -> void;
   /// Treats owners that were silent for long like ones that were lost.
