Deal keys by the speed and load that all gateways report

Change: gateways report requests by stripe and some latencies to the keeper, whose address lies in the lease's row; parts follow from speed and expected load; a stripe that is a server's load by itself goes to a fast one that others leave. Weights hold for 5 s and until a quarter would change; commits gather releases, as each is read by every host.

Tests: plays of the load against equal parts, the planner, views, reports.

--- a/src/core/events.h
+++ b/src/core/events.h
@@ -44,6 +44,8 @@
 constexpr LogEvent kOwnersUnread{802, LogLevel::kWarn, "owners-unread"};
 constexpr LogEvent kGrantRefused{803, LogLevel::kWarn, "grant-refused"};
 
+constexpr LogEvent kReportLost{804, LogLevel::kInfo, "report-lost"};
+
 constexpr LogEvent kRoutesInForce{900, LogLevel::kInfo, "routes-in-force"};
 constexpr LogEvent kRoutesUnread{901, LogLevel::kError, "routes-unread"};
 constexpr LogEvent kBackendKnown{902, LogLevel::kInfo, "backend-known"};
--- a/src/keys/keeper_lease.cc
+++ b/src/keys/keeper_lease.cc
@@ -54,7 +54,7 @@
   const auto result = this->store.Write(write);
   if (result.outcome == WriteOutcome::kWritten) {
     this->version = result.version;
-    this->claim = Claim{this->options.holder, until};
+    this->claim = Claim{this->options.holder, this->options.endpoint, until};
     this->Claimed(asked, result.store_time);
     return this->options.length / kRenewalsPerLease;
   }
@@ -102,6 +102,7 @@
 auto KeeperLease::Encode(Duration until) -> std::string {
   // The count makes each write differ, so that it can be told from others.
   return nlohmann::json{{"holder", this->options.holder},
+                        {"endpoint", this->options.endpoint},
                         {"until_us", until.count()},
                         {"write", ++this->writes}}
       .dump();
@@ -111,6 +112,7 @@
   try {
     const auto json = nlohmann::json::parse(text);
     return Claim{json.at("holder").get<std::string>(),
+                 json.at("endpoint").get<std::string>(),
                  Duration(json.at("until_us").get<std::int64_t>())};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/src/keys/keeper_lease.h
+++ b/src/keys/keeper_lease.h
@@ -13,7 +13,8 @@
 class KeeperLease {
  public:
   struct Options {
-    std::string holder;  ///< Unique to this process.
+    std::string holder;    ///< Unique to this process.
+    std::string endpoint;  ///< Where the holder takes reports.
     Duration length = std::chrono::seconds(4);
     /// Part of the lease in which the holder no longer relies on it.
     Duration margin = std::chrono::milliseconds(300);
@@ -34,6 +35,10 @@
   }
   /// @return the row under which writes of the holder are made.
   [[nodiscard]] auto Condition() const -> RowCondition;
+  /// @return where the holder takes reports, as far as known; may be empty.
+  [[nodiscard]] auto HolderEndpoint() const -> std::string {
+    return this->claim ? this->claim->endpoint : std::string();
+  }
   /// Counts the times that this process took the lease from nothing.
   [[nodiscard]] auto Term() const -> int { return this->term; }
 
@@ -41,6 +46,7 @@
   /// What the row says.
   struct Claim {
     std::string holder;
+    std::string endpoint;
     Duration until{0};  ///< On the store's clock.
   };
 
--- a/src/keys/kept_service.cc
+++ b/src/keys/kept_service.cc
@@ -24,6 +24,7 @@
       clock(clock),
       lease(lease),
       keeper(clock, timing),
+      view(stripe_count),
       stripe_count(stripe_count) {}
 
 auto KeptService::TakeOrders(std::vector<PlannedServer> servers)
@@ -38,7 +39,13 @@
     this->servers_seen = servers.size();
     this->servers_seen_at = this->clock.Now();
   }
-  this->keeper.SetServers(std::move(servers));
+  this->view.Roll(this->clock.Now());
+  std::vector<int> slots;
+  for (const auto& server : servers) {
+    slots.push_back(static_cast<int>(server.weight));
+  }
+  this->view.Weigh(servers, slots, this->clock.Now());
+  this->keeper.SetServers(std::move(servers), this->view.StripeLoads());
 }
 
 auto KeptService::Load() -> bool {
@@ -78,10 +85,11 @@
       {RowOf(this->name), this->keeper.PlannedMap().Encode(), 0, false});
   const auto result = this->store.Write(write);
   if (result.outcome == WriteOutcome::kWritten) {
+    const int moves = this->keeper.PlannedMoves();
     this->keeper.OnCommitted(result.version);
     Log(events::kOwnersCommitted,
-        "service=" + this->name.Value() +
-            " version=" + std::to_string(result.version) +
+        "service=" + this->name.Value() + " version=" +
+            std::to_string(result.version) + " moves=" + std::to_string(moves) +
             " fence=" + std::to_string(this->keeper.Map().LastFence()));
     return;
   }
--- a/src/keys/kept_service.h
+++ b/src/keys/kept_service.h
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "keys/keeper_lease.h"
+#include "keys/load_view.h"
 #include "keys/service_keeper.h"
 
 namespace currantbeam {
@@ -21,12 +22,14 @@
 
   [[nodiscard]] auto Name() const -> const ServiceName& { return this->name; }
   /// Call while the lease is held.
-  /// @param servers  that may own keys.
+  /// @param servers  that may own keys, weighed by their slots.
   /// @return calls that are due; answer each at Keeper().
   auto TakeOrders(std::vector<PlannedServer> servers) -> std::vector<KeyOrder>;
   /// Commits the changes that are due, if the lease is held. Not to be called
   /// while the lease is being renewed.
   auto CommitChanges() -> void;
+  /// Takes in what a gateway saw.
+  auto OnLoad(const ServiceLoad& load) -> void { this->view.Add(load); }
   [[nodiscard]] auto Keeper() -> ServiceKeeper& { return this->keeper; }
 
  private:
@@ -39,6 +42,7 @@
   const Clock& clock;
   const KeeperLease& lease;
   ServiceKeeper keeper;
+  LoadView view;
   int stripe_count;
   int loaded_term = 0;  ///< The lease's term in which the map was loaded.
   std::size_t servers_seen = 0;
--- a/src/keys/key_keeper.cc
+++ b/src/keys/key_keeper.cc
@@ -58,6 +58,13 @@
   }
 }
 
+auto KeyKeeper::OnReport(const LoadReport& report) -> void {
+  for (const auto& [name, load] : report.services) {
+    const auto it = this->services.find(name);
+    if (it != this->services.end()) it->second.kept.OnLoad(load);
+  }
+}
+
 auto KeyKeeper::RunLease() -> void {
   while (!this->stopped) {
     Duration pause{0};
--- a/src/keys/key_keeper.h
+++ b/src/keys/key_keeper.h
@@ -30,6 +30,12 @@
   auto Start() -> void;
   /// Gives the duty to another host; for good.
   auto Stop() -> void;
+  auto OnReport(const LoadReport& report) -> void;
+  /// @return where reports go; empty if that is not known.
+  [[nodiscard]] auto ReportEndpoint() const -> std::string {
+    return this->lease.HolderEndpoint();
+  }
+  [[nodiscard]] auto IsActive() const -> bool { return this->lease.IsHeld(); }
   auto SetServices(const std::set<ServiceName>& keyed) -> void;
 
  private:
--- /dev/null
+++ b/src/keys/load_report.cc
@@ -0,0 +1,98 @@
+#include "keys/load_report.h"
+
+#include <nlohmann/json.hpp>
+
+namespace currantbeam {
+namespace {
+
+/// Latencies of one server that are reported at a time.
+constexpr std::size_t kMostLatencies = 8;
+/// Stripes with fewer requests are not reported one by one.
+constexpr int kLeastRequests = 2;
+
+auto EncodeService(const ServiceLoad& load) -> nlohmann::json {
+  auto requests = nlohmann::json::array();
+  for (const auto& [stripe, count] : load.requests) {
+    requests.push_back({stripe, count});
+  }
+  auto latencies = nlohmann::json::object();
+  for (const auto& [id, list] : load.latencies_ms) {
+    latencies[id.Value()] = list;
+  }
+  return {{"r", requests}, {"o", load.other_requests}, {"l", latencies}};
+}
+
+auto DecodeService(const nlohmann::json& json) -> ServiceLoad {
+  ServiceLoad load;
+  for (const auto& one : json.at("r")) {
+    load.requests[one.at(0).get<int>()] = one.at(1).get<int>();
+  }
+  load.other_requests = json.at("o").get<int>();
+  for (const auto& [id, list] : json.at("l").items()) {
+    load.latencies_ms[ServerId(id)] = list.get<std::vector<int>>();
+  }
+  return load;
+}
+
+auto FoldSmall(ServiceLoad& load) -> void {
+  for (auto it = load.requests.begin(); it != load.requests.end();) {
+    if (it->second >= kLeastRequests) {
+      ++it;
+      continue;
+    }
+    load.other_requests += it->second;
+    it = load.requests.erase(it);
+  }
+}
+
+}  // namespace
+
+auto LoadReport::Encode() const -> std::string {
+  auto services = nlohmann::json::object();
+  for (const auto& [name, load] : this->services) {
+    services[name.Value()] = EncodeService(load);
+  }
+  const auto bytes = nlohmann::json::to_cbor({{"h", this->host.Value()},
+                                              {"i", this->interval.count()},
+                                              {"s", services}});
+  return {bytes.begin(), bytes.end()};
+}
+
+auto LoadReport::Decode(const std::string& text) -> LoadReport {
+  try {
+    const auto json = nlohmann::json::from_cbor(text);
+    LoadReport report;
+    report.host = HostId(json.at("h").get<std::string>());
+    report.interval = Duration(json.at("i").get<std::int64_t>());
+    for (const auto& [name, load] : json.at("s").items()) {
+      report.services[ServiceName(name)] = DecodeService(load);
+    }
+    return report;
+  } catch (const nlohmann::json::exception& error) {
+    throw InputError(std::string("load report: ") + error.what());
+  }
+}
+
+auto LoadRecorder::OnRequest(const ServiceName& service, int stripe) -> void {
+  ++this->services[service].requests[stripe];
+}
+
+auto LoadRecorder::OnAnswer(const ServiceName& service, const ServerId& server,
+                            Duration latency) -> void {
+  auto& list = this->services[service].latencies_ms[server];
+  if (list.size() >= kMostLatencies) return;
+  list.push_back(static_cast<int>(latency.count() / 1000));
+}
+
+auto LoadRecorder::Take(const HostId& host, TimePoint now) -> LoadReport {
+  LoadReport report;
+  report.host = host;
+  report.interval = now - this->taken_at;
+  report.services = std::move(this->services);
+  this->services.clear();
+  this->taken_at = now;
+  for (auto& [name, load] : report.services) FoldSmall(load);
+  return report;
+}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/keys/load_report.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+
+namespace currantbeam {
+
+/// What one gateway saw of a keyed service since its last report.
+struct ServiceLoad {
+  /// Requests by stripe, of the stripes that got several.
+  std::map<int, int> requests;
+  int other_requests = 0;  ///< To all other stripes together.
+  /// Latencies of some answers of each server, in milliseconds.
+  std::map<ServerId, std::vector<int>> latencies_ms;
+};
+
+/// A gateway's report to the keeper of keys.
+struct LoadReport {
+  HostId host;
+  Duration interval{0};  ///< That the report covers.
+  std::map<ServiceName, ServiceLoad> services;
+
+  [[nodiscard]] auto Encode() const -> std::string;
+  /// @throws InputError if the text is no report.
+  static auto Decode(const std::string& text) -> LoadReport;
+};
+
+/// Collects what goes into the next report. One loop.
+class LoadRecorder {
+ public:
+  auto OnRequest(const ServiceName& service, int stripe) -> void;
+  auto OnAnswer(const ServiceName& service, const ServerId& server,
+                Duration latency) -> void;
+  /// @return the report since the last call.
+  auto Take(const HostId& host, TimePoint now) -> LoadReport;
+
+ private:
+  std::map<ServiceName, ServiceLoad> services;
+  TimePoint taken_at{};
+};
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/keys/load_share.cc
@@ -0,0 +1,61 @@
+#include "keys/load_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantbeam {
+namespace {
+
+/// Pieces in which the load is dealt out.
+constexpr int kPieces = 400;
+/// Beyond this utilisation the estimate goes on as a steep line.
+constexpr double kFull = 0.9;
+constexpr double kOverloadSlope = 100;
+/// A server gets this part of an even share at least, so that its speed stays
+/// known.
+constexpr double kLeastPart = 0.15;
+
+/// @return the latency, in service times, at a utilisation.
+auto LatencyFactor(double utilisation, int slots) -> double {
+  const double bounded = std::min(utilisation, kFull);
+  const double exponent = std::sqrt(2.0 * (slots + 1)) - 1;
+  const double wait = std::pow(bounded, exponent) / (slots * (1 - bounded));
+  const double over = std::max(utilisation - kFull, 0.0);
+  return 1 + wait + kOverloadSlope * over;
+}
+
+/// @return what one server's requests cost together, in seconds a second.
+auto Cost(const ServerCapacity& server, double rate) -> double {
+  const double service =
+      std::chrono::duration<double>(server.service_time).count();
+  const double utilisation = rate * service / server.slots;
+  return rate * service * LatencyFactor(utilisation, server.slots);
+}
+
+}  // namespace
+
+auto ShareLoad(const std::vector<ServerCapacity>& servers, double rate)
+    -> std::vector<double> {
+  const auto count = servers.size();
+  if (count == 0) return {};
+  const double floor = kLeastPart / static_cast<double>(count);
+  const double piece = rate * (1 - kLeastPart) / kPieces;
+  std::vector<double> rates(count, rate * floor);
+  std::vector<double> next;
+  next.reserve(count);
+  const auto marginal = [&](std::size_t i) {
+    return Cost(servers[i], rates[i] + piece) - Cost(servers[i], rates[i]);
+  };
+  for (std::size_t i = 0; i < count; ++i) next.push_back(marginal(i));
+  for (int n = 0; n < kPieces; ++n) {
+    const auto least = std::min_element(next.begin(), next.end());
+    const auto i = static_cast<std::size_t>(least - next.begin());
+    rates[i] += piece;
+    *least = marginal(i);
+  }
+  const double sum = rate > 0 ? rate : 1;
+  for (auto& one : rates) one = rate > 0 ? one / sum : 1.0 / count;
+  return rates;
+}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/keys/load_view.cc
@@ -0,0 +1,163 @@
+#include "keys/load_view.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace currantbeam {
+namespace {
+
+/// The quantile of latencies that speeds go by: low, as waiting is no part of
+/// a server's speed.
+constexpr double kQuantile = 0.3;
+constexpr double kQuantileStep = 0.08;
+/// A typical service time, in that quantile.
+constexpr double kMeanPerQuantile = 1.8;
+constexpr int kLeastSamples = 30;
+/// Parts are made for at least this utilisation, so that they change little
+/// while the load swings below it.
+constexpr double kLeastUtilisation = 0.5;
+/// Sum of the changes of all parts from which new parts are worth the moves.
+constexpr double kLeastChange = 0.25;
+/// Weights stay for this long, as every change moves keys.
+constexpr auto kWeighInterval = std::chrono::seconds(5);
+constexpr auto kRateHalfLife = std::chrono::milliseconds(700);
+/// How fast the highest rate seen is forgotten.
+constexpr auto kPeakHalfLife = std::chrono::seconds(20);
+/// Load to expect beyond the highest of late.
+constexpr double kHeadroom = 1.25;
+/// A stripe is busy if it gets this many times the mean, and this many
+/// requests a second.
+constexpr double kBusyTimesMean = 8;
+constexpr double kBusyRate = 4;
+
+auto Difference(const std::vector<double>& a, const std::vector<double>& b)
+    -> double {
+  if (a.size() != b.size()) return 1;
+  double sum = 0;
+  for (std::size_t i = 0; i < a.size(); ++i) sum += std::abs(a[i] - b[i]);
+  return sum;
+}
+
+auto Decay(Duration passed, Duration half_life) -> double {
+  return std::pow(0.5, static_cast<double>(passed.count()) /
+                           static_cast<double>(half_life.count()));
+}
+
+}  // namespace
+
+auto LoadView::Add(const ServiceLoad& load) -> void {
+  for (const auto& [stripe, count] : load.requests) {
+    if (stripe < 0 || stripe >= static_cast<int>(this->arriving.size())) {
+      continue;
+    }
+    this->arriving[stripe] += count;
+  }
+  this->other_arriving += load.other_requests;
+  for (const auto& [id, latencies] : load.latencies_ms) {
+    auto& speed = this->speeds[id];
+    for (const int latency : latencies) {
+      const double sample = std::max(latency, 1);
+      if (speed.samples++ == 0) speed.latency_ms = sample;
+      const bool is_below = sample < speed.latency_ms;
+      speed.latency_ms *= is_below ? 1 - kQuantileStep * (1 - kQuantile)
+                                   : 1 + kQuantileStep * kQuantile;
+    }
+  }
+}
+
+auto LoadView::Roll(TimePoint now) -> void {
+  const Duration passed = now - this->rolled_at;
+  this->rolled_at = now;
+  if (passed <= Duration(0)) return;
+  const double keep = Decay(passed, kRateHalfLife);
+  const double seconds = std::chrono::duration<double>(passed).count();
+  for (std::size_t i = 0; i < this->rates.size(); ++i) {
+    const double rate = this->arriving[i] / seconds;
+    this->rates[i] = keep * this->rates[i] + (1 - keep) * rate;
+    this->arriving[i] = 0;
+  }
+  this->other_rate =
+      keep * this->other_rate + (1 - keep) * this->other_arriving / seconds;
+  this->other_arriving = 0;
+  this->peak_rate = std::max(this->peak_rate * Decay(passed, kPeakHalfLife),
+                             this->TotalRate());
+}
+
+auto LoadView::TotalRate() const -> double {
+  return std::accumulate(this->rates.begin(), this->rates.end(),
+                         this->other_rate);
+}
+
+auto LoadView::StripeLoads() const -> std::vector<double> {
+  const double total = this->TotalRate();
+  if (total < 1) return {};
+  const auto count = static_cast<double>(this->rates.size());
+  const double busy_from = std::max(kBusyRate, kBusyTimesMean * total / count);
+  double busy = 0;
+  for (const double rate : this->rates) {
+    if (rate >= busy_from) busy += rate;
+  }
+  const double rest = std::max(total - busy, 1.0) / count;
+  std::vector<double> loads;
+  loads.reserve(this->rates.size());
+  for (const double rate : this->rates) {
+    loads.push_back(rate >= busy_from ? rate : rest);
+  }
+  return loads;
+}
+
+auto LoadView::Weigh(std::vector<PlannedServer>& servers,
+                     const std::vector<int>& slots, TimePoint now) -> void {
+  std::vector<ServerId> ids;
+  for (const auto& server : servers) ids.push_back(server.owner.id);
+  const bool is_due = this->parts.empty() || ids != this->weighed ||
+                      now - this->weighed_at >= kWeighInterval;
+  if (is_due) {
+    auto parts = this->Parts(servers, slots);
+    if (ids != this->weighed ||
+        Difference(parts, this->parts) >= kLeastChange) {
+      this->parts = std::move(parts);
+    }
+    this->weighed = std::move(ids);
+    this->weighed_at = now;
+  }
+  for (std::size_t i = 0; i < this->parts.size(); ++i) {
+    servers[i].weight = this->parts[i];
+  }
+}
+
+auto LoadView::Parts(const std::vector<PlannedServer>& servers,
+                     const std::vector<int>& slots) const
+    -> std::vector<double> {
+  double sum = 0;
+  int known = 0;
+  for (const auto& server : servers) {
+    const auto it = this->speeds.find(server.owner.id);
+    if (it == this->speeds.end() || it->second.samples < kLeastSamples) {
+      continue;
+    }
+    sum += it->second.latency_ms;
+    ++known;
+  }
+  // Until most are known, a server that seems slow may be like the others.
+  if (known * 2 < static_cast<int>(servers.size()) || known == 0) return {};
+  std::vector<ServerCapacity> capacities;
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    const auto it = this->speeds.find(servers[i].owner.id);
+    const bool is_known =
+        it != this->speeds.end() && it->second.samples >= kLeastSamples;
+    const double latency = is_known ? it->second.latency_ms : sum / known;
+    capacities.push_back({slots[i], Duration(static_cast<std::int64_t>(
+                                        latency * kMeanPerQuantile * 1000))});
+  }
+  double capacity = 0;
+  for (const auto& one : capacities) {
+    const std::chrono::duration<double> time(one.service_time);
+    capacity += one.slots / time.count();
+  }
+  return ShareLoad(capacities, std::max(this->peak_rate * kHeadroom,
+                                        capacity * kLeastUtilisation));
+}
+
+}  // namespace currantbeam
--- /dev/null
+++ b/src/keys/load_view.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <unordered_map>
+#include <vector>
+
+#include "keys/load_report.h"
+#include "keys/load_share.h"
+#include "keys/stripe_planner.h"
+
+namespace currantbeam {
+
+/// What all gateways together see of one keyed service: how busy each stripe
+/// is, and how fast each server.
+class LoadView {
+ public:
+  /// @param stripe_count  of the service's owner map.
+  explicit LoadView(int stripe_count)
+      : rates(stripe_count, 0), arriving(stripe_count, 0) {}
+
+  auto Add(const ServiceLoad& load) -> void;
+  /// Takes what arrived since the last call into the rates.
+  auto Roll(TimePoint now) -> void;
+
+  /// @return the load of each stripe: that of busy ones as it is, that of all
+  ///   others evened out; empty while nothing is known.
+  [[nodiscard]] auto StripeLoads() const -> std::vector<double>;
+  /// Sets the weights of the servers by their speed and the load to expect.
+  auto Weigh(std::vector<PlannedServer>& servers, const std::vector<int>& slots,
+             TimePoint now) -> void;
+
+ private:
+  /// The speed of one server.
+  struct Speed {
+    double latency_ms = 0;  ///< That about a third of the answers stay below.
+    int samples = 0;
+  };
+
+  /// @return the servers' parts of the load; empty while too little is known.
+  [[nodiscard]] auto Parts(const std::vector<PlannedServer>& servers,
+                           const std::vector<int>& slots) const
+      -> std::vector<double>;
+  [[nodiscard]] auto TotalRate() const -> double;
+
+  std::vector<double> rates;  ///< Requests a second, by stripe.
+  std::vector<int> arriving;
+  double other_rate = 0;
+  int other_arriving = 0;
+  std::unordered_map<ServerId, Speed> speeds;
+  TimePoint rolled_at{};
+  double peak_rate = 0;
+  std::vector<ServerId> weighed;  ///< The servers that `parts` are of.
+  std::vector<double> parts;
+  TimePoint weighed_at{};
+};
+
+}  // namespace currantbeam
--- a/src/keys/owner_map.h
+++ b/src/keys/owner_map.h
@@ -52,8 +52,11 @@
     return {stripe * width, (stripe + 1) * width - 1};
   }
   [[nodiscard]] auto OwnerOf(int stripe) const -> const KeyOwner*;
+  [[nodiscard]] auto StripeOfKey(int key) const -> int {
+    return key / (kKeyCount / this->StripeCount());
+  }
   [[nodiscard]] auto OwnerOfKey(int key) const -> const KeyOwner* {
-    return this->OwnerOf(key / (kKeyCount / this->StripeCount()));
+    return this->OwnerOf(this->StripeOfKey(key));
   }
   [[nodiscard]] auto FenceOf(int stripe) const -> FencingToken {
     return this->stripes[stripe].fence;
--- a/src/keys/service_keeper.cc
+++ b/src/keys/service_keeper.cc
@@ -9,9 +9,12 @@
 /// Multiples of this, without their whole part, spread evenly over [0, 1).
 constexpr double kGoldenRatio = 0.6180339887498949;
 constexpr auto kRetry = std::chrono::milliseconds(300);
-constexpr auto kEvenInterval = std::chrono::milliseconds(500);
+constexpr auto kEvenInterval = std::chrono::milliseconds(1000);
+/// How long vacant stripes wait for others that are being released, so that
+/// one write to the store, which all hosts then read, does for all.
+constexpr auto kGather = std::chrono::milliseconds(250);
 /// Stripes of sound owners that move at a time.
-constexpr int kMostEvened = 64;
+constexpr int kMostEvened = 128;
 
 }  // namespace
 
@@ -52,8 +55,12 @@
   return sent + this->timing.call_timeout + hold + this->timing.margin;
 }
 
-auto ServiceKeeper::SetServers(std::vector<PlannedServer> servers) -> void {
+auto ServiceKeeper::SetServers(std::vector<PlannedServer> servers,
+                               std::vector<double> loads) -> void {
   this->servers = std::move(servers);
+  const auto count = static_cast<std::size_t>(this->map.StripeCount());
+  if (loads.size() != count) loads.clear();
+  this->loads = std::move(loads);
 }
 
 auto ServiceKeeper::OnAddressReused(const std::string& address,
@@ -115,8 +122,7 @@
       this->stripes.begin(), this->stripes.end(),
       [](const Stripe& stripe) { return stripe.phase != Phase::kHeld; });
   if (is_moving) return;
-  const auto leaving = StripePlanner::Even(this->map, this->Vacant(),
-                                           this->servers, kMostEvened);
+  const auto leaving = StripePlanner::Even(this->Placement(), kMostEvened);
   for (const auto i : leaving) {
     this->stripes[i].phase = Phase::kReleasing;
     this->stripes[i].is_evened = true;
@@ -212,10 +218,21 @@
   return vacant;
 }
 
+auto ServiceKeeper::IsGathering(TimePoint now) -> bool {
+  bool is_releasing = false;
+  bool is_vacant = false;
+  for (const auto& stripe : this->stripes) {
+    is_releasing |= stripe.phase == Phase::kReleasing && stripe.is_in_flight;
+    is_vacant |= stripe.phase == Phase::kVacant;
+  }
+  if (!is_vacant) this->vacant_since = now;
+  return is_releasing && now - this->vacant_since < kGather;
+}
+
 auto ServiceKeeper::PlanChange() -> bool {
+  if (this->IsGathering(this->clock.Now())) return false;
   this->planned = this->map;
-  const auto moves =
-      StripePlanner::Deal(this->map, this->Vacant(), this->servers);
+  const auto moves = StripePlanner::Deal(this->Placement());
   bool has_stale = false;
   for (int i = 0; i < this->map.StripeCount(); ++i) {
     const auto& stripe = this->stripes[i];
@@ -234,6 +251,17 @@
   return true;
 }
 
+auto ServiceKeeper::PlannedMoves() const -> int {
+  int moves = 0;
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
+    const auto* before = this->map.OwnerOf(i);
+    const auto* after = this->planned.OwnerOf(i);
+    if (after == nullptr) continue;
+    moves += before == nullptr || !(*before == *after) ? 1 : 0;
+  }
+  return moves;
+}
+
 auto ServiceKeeper::OnCommitted(StoreVersion version) -> void {
   const auto now = this->clock.Now();
   for (int i = 0; i < this->map.StripeCount(); ++i) {
--- a/src/keys/service_keeper.h
+++ b/src/keys/service_keeper.h
@@ -47,7 +47,9 @@
   /// Starts from a map that another keeper may have worked on until now.
   auto Load(OwnerMap map, StoreVersion version) -> void;
   /// @param servers  that may own keys; those that left are missing.
-  auto SetServers(std::vector<PlannedServer> servers) -> void;
+  /// @param loads  of each stripe; empty if not known.
+  auto SetServers(std::vector<PlannedServer> servers, std::vector<double> loads)
+      -> void;
   /// Another server lives where an owner was: that owner is gone for good.
   auto OnAddressReused(const std::string& address, std::uint16_t port,
                        const ServerId& id, std::chrono::milliseconds started)
@@ -70,6 +72,8 @@
   [[nodiscard]] auto PlannedMap() const -> const OwnerMap& {
     return this->planned;
   }
+  /// @return how many stripes the planned map gives another owner.
+  [[nodiscard]] auto PlannedMoves() const -> int;
   /// The planned map is in the store.
   auto OnCommitted(StoreVersion version) -> void;
 
@@ -99,11 +103,16 @@
   [[nodiscard]] auto IsSound(const KeyOwner& owner) const -> bool;
   [[nodiscard]] auto RenewalAfter(int stripe, bool is_new) const -> Duration;
   auto UpdatePhases(TimePoint now) -> void;
+  /// @return whether vacant stripes should wait for others.
+  auto IsGathering(TimePoint now) -> bool;
   auto EvenOut(TimePoint now) -> void;
   /// Treats owners that were silent for long like ones that were lost.
   auto CheckSilence(TimePoint now) -> void;
   auto NoteHeard(const KeyOwner& owner) -> void;
   [[nodiscard]] auto Vacant() const -> std::vector<bool>;
+  [[nodiscard]] auto Placement() const -> PlacementState {
+    return {this->map, this->Vacant(), this->servers, this->loads};
+  }
   auto MakeOrder(int stripe, KeyOrder::Kind kind) -> KeyOrder;
 
   const Clock& clock;
@@ -112,10 +121,12 @@
   OwnerMap planned;
   StoreVersion version = 0;
   std::vector<PlannedServer> servers;
+  std::vector<double> loads;
   std::vector<Stripe> stripes;
   /// When each server last answered, by id, as long as it is in contact.
   std::unordered_map<ServerId, TimePoint> heard_at;
   TimePoint evened_at{};
+  TimePoint vacant_since{};
   int term = 0;
 };
 
--- a/src/keys/stripe_planner.cc
+++ b/src/keys/stripe_planner.cc
@@ -2,126 +2,158 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace currantbeam {
 namespace {
 
-/// Stripes move once a server is this far from its part.
-constexpr double kTolerance = 0.06;
+/// Stripes move once a server is this far above its part.
+constexpr double kTolerance = 0.25;
 /// Walks the stripes in an order that spreads moves over the whole range; has
 /// no factor in common with the number of stripes.
 constexpr int kWalkStep = 1237;
+/// Part of a server's quota from which a stripe counts as its load by itself.
+constexpr double kHotPart = 0.5;
+/// How much more weight a server needs to get such a stripe from another.
+constexpr double kBetterWeight = 1.3;
 
-/// Stripes of each server, and how many it should have.
+/// The load of each server, and how much it should have.
 class Shares {
  public:
-  Shares(const OwnerMap& map, const std::vector<bool>& vacant,
-         const std::vector<PlannedServer>& servers)
-      : servers(servers), counts(servers.size(), 0) {
+  explicit Shares(const PlacementState& state)
+      : state(state), used(state.servers.size(), 0) {
+    const auto count = state.map.StripeCount();
+    this->loads = state.loads;
+    if (this->loads.empty()) this->loads.assign(count, 1);
+    const double total =
+        std::accumulate(this->loads.begin(), this->loads.end(), 0.0);
     double sum = 0;
-    for (const auto& server : servers) sum += server.weight;
-    for (const auto& server : servers) {
-      this->quotas.push_back(map.StripeCount() * server.weight / sum);
+    for (const auto& server : state.servers) sum += server.weight;
+    for (const auto& server : state.servers) {
+      this->quotas.push_back(total * server.weight / sum);
     }
-    for (int stripe = 0; stripe < map.StripeCount(); ++stripe) {
-      const auto* owner = vacant[stripe] ? nullptr : map.OwnerOf(stripe);
+    for (int stripe = 0; stripe < count; ++stripe) {
+      const auto* owner =
+          state.vacant[stripe] ? nullptr : state.map.OwnerOf(stripe);
       this->owners.push_back(this->Find(owner));
-      if (this->owners.back() >= 0) ++this->counts[this->owners.back()];
+      if (this->owners.back() < 0) continue;
+      this->used[this->owners.back()] += this->loads[stripe];
     }
   }
 
   [[nodiscard]] auto OwnerOf(int stripe) const -> int {
     return this->owners[stripe];
   }
-  /// @return the server that is furthest below its part, counted in parts,
+  [[nodiscard]] auto LoadOf(int stripe) const -> double {
+    return this->loads[stripe];
+  }
+  [[nodiscard]] auto Fill(int server, double more) const -> double {
+    return (this->used[server] + more) / this->quotas[server];
+  }
+  [[nodiscard]] auto QuotaOf(int server) const -> double {
+    return this->quotas[server];
+  }
+  /// @return the server that the stripe would fill least, counted in parts,
   ///   leaving out the owners of the neighbouring stripes where it can.
   [[nodiscard]] auto MostInNeed(int stripe) const -> int {
     int best = -1;
     double best_fill = 0;
-    for (std::size_t i = 0; i < this->servers.size(); ++i) {
-      double fill = (this->counts[i] + 1) / this->quotas[i];
-      if (this->IsNeighbour(stripe, static_cast<int>(i))) fill += 1;
+    for (int i = 0; i < static_cast<int>(this->used.size()); ++i) {
+      double fill = this->Fill(i, this->loads[stripe]);
+      if (this->IsNeighbour(stripe, i)) fill += 1;
       if (best >= 0 && fill >= best_fill) continue;
-      best = static_cast<int>(i);
+      best = i;
       best_fill = fill;
     }
     return best;
   }
   [[nodiscard]] auto IsUneven() const -> bool {
-    for (std::size_t i = 0; i < this->counts.size(); ++i) {
-      const auto quota = this->quotas[i];
-      if (std::abs(this->counts[i] - quota) > kTolerance * quota + 1) {
-        return true;
-      }
+    for (int i = 0; i < static_cast<int>(this->used.size()); ++i) {
+      if (std::abs(this->Fill(i, 0) - 1) > kTolerance) return true;
     }
     return false;
   }
-  [[nodiscard]] auto IsOverFull(int server) const -> bool {
-    return this->counts[server] > std::ceil(this->quotas[server]);
-  }
-  [[nodiscard]] auto IsShort(int server) const -> bool {
-    return this->counts[server] + 1 <= std::floor(this->quotas[server]);
-  }
   auto Move(int stripe, int to) -> void {
-    if (this->owners[stripe] >= 0) --this->counts[this->owners[stripe]];
+    const int from = this->owners[stripe];
+    if (from >= 0) this->used[from] -= this->loads[stripe];
     this->owners[stripe] = to;
-    ++this->counts[to];
+    this->used[to] += this->loads[stripe];
+  }
+  /// @return whether the stripe is most of what its server should have, and
+  ///   another could do it much faster.
+  [[nodiscard]] auto IsMisplaced(int stripe) const -> bool {
+    const int owner = this->owners[stripe];
+    const bool is_hot = this->loads[stripe] > kHotPart * this->quotas[owner];
+    if (!is_hot) return false;
+    const int to = this->MostInNeed(stripe);
+    return this->quotas[to] > kBetterWeight * this->quotas[owner];
   }
 
  private:
   [[nodiscard]] auto Find(const KeyOwner* owner) const -> int {
     if (owner == nullptr) return -1;
-    for (std::size_t i = 0; i < this->servers.size(); ++i) {
-      if (this->servers[i].owner == *owner) return static_cast<int>(i);
+    const auto& servers = this->state.servers;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      if (servers[i].owner == *owner) return static_cast<int>(i);
     }
     return -1;
   }
   [[nodiscard]] auto IsNeighbour(int stripe, int server) const -> bool {
+    const auto count = static_cast<int>(this->owners.size());
     const bool before = stripe > 0 && this->owners[stripe - 1] == server;
-    const bool after = stripe + 1 < static_cast<int>(this->owners.size()) &&
-                       this->owners[stripe + 1] == server;
-    return this->servers.size() > 2 && (before || after);
+    const bool after = stripe + 1 < count && this->owners[stripe + 1] == server;
+    return this->used.size() > 2 && (before || after);
   }
 
-  const std::vector<PlannedServer>& servers;
-  std::vector<double> quotas;
-  std::vector<int> counts;
-  std::vector<int> owners;
+  const PlacementState& state;
+  std::vector<double> loads;   ///< By stripe.
+  std::vector<double> quotas;  ///< By server.
+  std::vector<double> used;    ///< By server.
+  std::vector<int> owners;     ///< By stripe; -1 if it is to be dealt.
 };
 
 }  // namespace
 
-auto StripePlanner::Deal(const OwnerMap& map, const std::vector<bool>& vacant,
-                         const std::vector<PlannedServer>& servers)
+auto StripePlanner::Deal(const PlacementState& state)
     -> std::vector<StripeMove> {
   std::vector<StripeMove> moves;
-  if (servers.empty()) return moves;
-  Shares shares(map, vacant, servers);
-  for (int stripe = 0; stripe < map.StripeCount(); ++stripe) {
-    if (!vacant[stripe]) continue;
+  if (state.servers.empty()) return moves;
+  Shares shares(state);
+  for (int stripe = 0; stripe < state.map.StripeCount(); ++stripe) {
+    if (!state.vacant[stripe]) continue;
     const auto to = shares.MostInNeed(stripe);
     shares.Move(stripe, to);
-    moves.push_back({stripe, servers[to].owner});
+    moves.push_back({stripe, state.servers[to].owner});
   }
   return moves;
 }
 
-auto StripePlanner::Even(const OwnerMap& map, const std::vector<bool>& vacant,
-                         const std::vector<PlannedServer>& servers, int most)
+auto StripePlanner::Even(const PlacementState& state, int most)
     -> std::vector<int> {
   std::vector<int> leaving;
-  if (servers.empty()) return leaving;
-  Shares shares(map, vacant, servers);
+  if (state.servers.empty()) return leaving;
+  Shares shares(state);
   if (!shares.IsUneven()) return leaving;
-  for (int i = 0; i < map.StripeCount(); ++i) {
+  const int count = state.map.StripeCount();
+  const auto leave = [&](int stripe, int to) {
+    shares.Move(stripe, to);
+    leaving.push_back(stripe);
+  };
+  for (int stripe = 0; stripe < count; ++stripe) {
+    if (shares.OwnerOf(stripe) < 0 || !shares.IsMisplaced(stripe)) continue;
+    leave(stripe, shares.MostInNeed(stripe));
+  }
+  for (int i = 0; i < count; ++i) {
     if (static_cast<int>(leaving.size()) >= most) break;
-    const int stripe = (i * kWalkStep) % map.StripeCount();
+    const int stripe = (i * kWalkStep) % count;
     const int owner = shares.OwnerOf(stripe);
-    if (owner < 0 || !shares.IsOverFull(owner)) continue;
+    if (owner < 0 || shares.Fill(owner, 0) <= 1) continue;
     const int to = shares.MostInNeed(stripe);
-    if (to == owner || !shares.IsShort(to)) continue;
-    shares.Move(stripe, to);
-    leaving.push_back(stripe);
+    // Not worth a move unless the other stays well below.
+    const double load = shares.LoadOf(stripe);
+    const bool is_better = shares.Fill(to, load) < shares.Fill(owner, 0) &&
+                           shares.Fill(to, load) <= 1;
+    if (to != owner && is_better) leave(stripe, to);
   }
   return leaving;
 }
--- a/src/keys/stripe_planner.h
+++ b/src/keys/stripe_planner.h
@@ -18,24 +18,32 @@
   KeyOwner to;
 };
 
-/// Deals stripes to servers by weight. Stripes next to each other go to
-/// different servers, so that a run of busy neighbouring keys is shared.
-/// Answers the load of a few hundred adjacent keys that are busy all at once.
+/// What a plan starts from.
+struct PlacementState {
+  const OwnerMap& map;
+  /// For each stripe, whether nobody holds it.
+  std::vector<bool> vacant;
+  const std::vector<PlannedServer>& servers;
+  /// For each stripe, its part of the service's load, in any unit; empty if
+  /// nothing is known of it.
+  std::vector<double> loads;
+};
+
+/// Deals stripes to servers by weight and load. Stripes next to each other go
+/// to different servers, so that a run of busy neighbouring keys is shared: it
+/// answers the load of a few hundred adjacent keys that are busy all at once.
+/// A stripe that is a server's load by itself goes to one of the greatest
+/// weight, and the others leave it: it answers the load of one busy key.
 class StripePlanner {
  public:
-  /// @param vacant  for each stripe, whether it is to be dealt anew.
   /// @return an owner for each vacant stripe.
-  [[nodiscard]] static auto Deal(const OwnerMap& map,
-                                 const std::vector<bool>& vacant,
-                                 const std::vector<PlannedServer>& servers)
+  [[nodiscard]] static auto Deal(const PlacementState& state)
       -> std::vector<StripeMove>;
-  /// @return stripes that should leave servers which have more than their
-  ///   part, for others that have less.
+  /// @return stripes that should leave their servers, for ones that have less
+  ///   than their part.
   /// @param most  how many stripes may move.
-  [[nodiscard]] static auto Even(const OwnerMap& map,
-                                 const std::vector<bool>& vacant,
-                                 const std::vector<PlannedServer>& servers,
-                                 int most) -> std::vector<int>;
+  [[nodiscard]] static auto Even(const PlacementState& state, int most)
+      -> std::vector<int>;
 };
 
 }  // namespace currantbeam
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -107,6 +107,7 @@
 
 auto ForwardedRequest::Forward() -> void {
   this->state.BudgetOf(this->service).OnRequest();
+  this->RecordKey();
   while (true) {
     const auto target = this->ChooseTarget();
     if (target == nullptr) return;
@@ -146,6 +147,13 @@
   }
 }
 
+auto ForwardedRequest::RecordKey() -> void {
+  const auto key = this->Key();
+  if (!this->is_keyed || !key) return;
+  const auto stripe = this->state.owners.StripeOf(this->service, *key);
+  if (stripe) this->state.loads.OnRequest(this->service, *stripe);
+}
+
 auto ForwardedRequest::ChooseTarget() -> BackendTargetPtr {
   if (this->is_keyed) {
     const auto key = this->Key();
@@ -312,6 +320,9 @@
     target.load.OnFailure(now);
   } else {
     target.load.OnAnswer(now, latency, this->route->latency_target);
+    if (this->is_keyed) {
+      this->state.loads.OnAnswer(this->service, target.entry.id, latency);
+    }
   }
   if (!is_whole) return this->Stream(connection, body);
   HttpResponse response;
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -29,6 +29,7 @@
 
   auto ReadDeadline() -> void;
   auto Forward() -> void;
+  auto RecordKey() -> void;
   /// @return the server to send to; null after the request was refused.
   auto ChooseTarget() -> BackendTargetPtr;
   auto OwnerTarget(int key) -> BackendTargetPtr;
--- a/src/router/owner_directory.cc
+++ b/src/router/owner_directory.cc
@@ -11,6 +11,13 @@
   return it == this->maps.end() ? nullptr : it->second.OwnerOfKey(key);
 }
 
+auto OwnerDirectory::StripeOf(const ServiceName& service, int key) const
+    -> std::optional<int> {
+  const auto it = this->maps.find(service);
+  if (it == this->maps.end()) return std::nullopt;
+  return it->second.StripeOfKey(key);
+}
+
 auto OwnerDirectory::OnRow(const StoreRow& row) -> void {
   try {
     this->maps[ServiceName(row.name.key)] = OwnerMap::Decode(row.value);
--- a/src/router/owner_directory.h
+++ b/src/router/owner_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <unordered_map>
 
 #include "keys/owner_map.h"
@@ -14,6 +15,10 @@
   [[nodiscard]] auto Find(const ServiceName& service, int key) const
       -> const KeyOwner*;
 
+  /// @return the key's stripe; nothing if the service's owners are not known.
+  [[nodiscard]] auto StripeOf(const ServiceName& service, int key) const
+      -> std::optional<int>;
+
   auto OnRow(const StoreRow& row) -> void override;
   auto OnRemoved(const std::string& key) -> void override;
   auto OnCurrent() -> void override {}
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -5,6 +5,7 @@
 
 #include "backends/backends.h"
 #include "http/http.h"
+#include "keys/load_report.h"
 #include "policy/policy.h"
 #include "router/backend_chooser.h"
 #include "router/forwarding_headers.h"
@@ -19,6 +20,7 @@
   ForwardingHeaders headers;
   BackendDirectory& directory;
   OwnerDirectory& owners;
+  LoadRecorder& loads;
   BackendChooser chooser;
   /// Retries for each request of a service, and how many may be saved up.
   double retry_share = 0.1;
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -43,6 +43,18 @@
     const RouterProcess& process;
   };
 
+  /// Takes other hosts' reports of load.
+  class ReportHandler : public HttpHandler {
+   public:
+    explicit ReportHandler(KeyKeeper& keeper) : keeper(keeper) {}
+    auto Handle(HttpExchange& exchange) -> void override;
+    auto OnBadInput(const std::string& what) -> void override;
+
+   private:
+    KeyKeeper& keeper;
+  };
+
+  auto ReportLoads() -> void;
   auto StartFollowing(const std::string& table, TableListener& listener,
                       std::chrono::milliseconds batching) -> void;
   auto TakeRoutes(RouteConfig config) -> void;
@@ -58,12 +70,15 @@
   BootClock clock;
   BackendDirectory directory;
   OwnerDirectory owners;
+  LoadRecorder loads;
   ForwardingState state;
   RequestForwarder forwarder;
   ReadinessHandler readiness_handler;
   HttpServer callers;
   HttpServer readiness;
   KeyKeeper keeper;
+  ReportHandler report_handler;
+  HttpServer reports;
   RoutesListener routes_listener;
   BackendsListener backends_listener;
   StopSignal stop_signal;
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -23,6 +23,7 @@
   Endpoint callers;
   Endpoint readiness;
   Endpoint store;
+  Endpoint peers;  ///< Where other hosts reach this one.
   /// From the signal to stop until the process is killed.
   std::chrono::milliseconds stop_grace{6000};
   /// Retries that all hosts together may make, for each request.
--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -27,7 +27,7 @@
 auto DealAll(OwnerMap& map, const std::vector<PlannedServer>& servers) -> void {
   const std::vector<bool> vacant(map.StripeCount(), true);
   const auto fence = map.NextFence();
-  for (const auto& move : StripePlanner::Deal(map, vacant, servers)) {
+  for (const auto& move : StripePlanner::Deal({map, vacant, servers, {}})) {
     map.Assign(move.stripe, move.to, fence);
   }
 }
@@ -109,13 +109,14 @@
   OwnerMap map;
   DealAll(map, MakeServers(9));
   const std::vector<bool> vacant(map.StripeCount(), false);
+  const auto ten = MakeServers(10);
+  const auto nine = MakeServers(9);
   const auto leaving =
-      StripePlanner::Even(map, vacant, MakeServers(10), map.StripeCount());
+      StripePlanner::Even({map, vacant, ten, {}}, map.StripeCount());
   EXPECT_NEAR(static_cast<int>(leaving.size()), map.StripeCount() / 10,
               map.StripeCount() / 50);
   EXPECT_TRUE(
-      StripePlanner::Even(map, vacant, MakeServers(9), map.StripeCount())
-          .empty());
+      StripePlanner::Even({map, vacant, nine, {}}, map.StripeCount()).empty());
 }
 
 TEST(StripePlanner, MovesNothingElseWhenAServerLeaves) {
@@ -128,17 +129,136 @@
     vacant[i] = map.OwnerOf(i)->id == ServerId("s8");
     lost += vacant[i] ? 1 : 0;
   }
-  const auto moves = StripePlanner::Deal(map, vacant, rest);
+  const auto moves = StripePlanner::Deal({map, vacant, rest, {}});
   EXPECT_EQ(static_cast<int>(moves.size()), lost);
   for (const auto& move : moves) EXPECT_TRUE(vacant[move.stripe]);
 }
 
+TEST(StripePlanner, GivesABusyStripeAServerOfItsOwnThatIsFast) {
+  auto servers = MakeServers(6);
+  servers[5].weight = 12;
+  OwnerMap map;
+  DealAll(map, servers);
+  const std::vector<bool> vacant(map.StripeCount(), false);
+  int busy = 0;
+  while (map.OwnerOf(busy)->id == ServerId("s5")) ++busy;
+  // A third of all load lies on one stripe.
+  std::vector<double> loads(map.StripeCount(), 1);
+  loads[busy] = map.StripeCount() / 2.0;
+  const PlacementState state = {map, vacant, servers, loads};
+  const auto leaving = StripePlanner::Even(state, map.StripeCount());
+  EXPECT_EQ(std::count(leaving.begin(), leaving.end(), busy), 1);
+  int from_fast = 0;
+  for (const int stripe : leaving) {
+    from_fast += map.OwnerOf(stripe)->id == ServerId("s5") ? 1 : 0;
+  }
+  EXPECT_GT(from_fast, map.StripeCount() / 10);
+}
+
+TEST(ShareLoad, GivesFastServersMostWhileThereIsLittleToDo) {
+  using std::chrono::milliseconds;
+  const std::vector<ServerCapacity> servers = {{4, milliseconds(50)},
+                                               {4, milliseconds(120)}};
+  const auto little = ShareLoad(servers, 20);
+  const auto much = ShareLoad(servers, 100);
+  EXPECT_GT(little[0], 0.85);
+  EXPECT_GT(little[0], much[0]);
+  // At the limit both do what they can: 80 and 33 a second.
+  EXPECT_NEAR(much[0], 0.7, 0.06);
+  EXPECT_NEAR(little[0] + little[1], 1, 1e-9);
+}
+
+/// Plays the load of a service with servers of three speeds against a simple
+/// baseline, an equal part for each: what counts is the mean latency.
+TEST(ShareLoad, BeatsEqualPartsAtEveryLoad) {
+  using std::chrono::milliseconds;
+  std::vector<ServerCapacity> servers;
+  for (const int time : {48, 76, 127}) {
+    for (int i = 0; i < 5; ++i) servers.push_back({4, milliseconds(time)});
+  }
+  // Latency of one server at a rate, as M/M/1 with a pooled worker; another
+  // model than the one that the code goes by.
+  const auto latency = [](const ServerCapacity& server, double rate) {
+    const double time =
+        std::chrono::duration<double>(server.service_time).count();
+    const double free = 1 - rate * time / server.slots;
+    return free <= 0 ? 10.0 : time + time / server.slots * (1 - free) / free;
+  };
+  for (const double rate : {50.0, 200.0, 400.0, 600.0}) {
+    const auto parts = ShareLoad(servers, rate);
+    double shared = 0;
+    double equal = 0;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      shared += parts[i] * latency(servers[i], parts[i] * rate);
+      equal += latency(servers[i], rate / 15) / 15;
+    }
+    EXPECT_LT(shared, equal) << rate;
+  }
+}
+
+TEST(LoadReport, ComesBackFromItsStoredForm) {
+  LoadRecorder recorder;
+  const ServiceName service("s");
+  for (int i = 0; i < 5; ++i) recorder.OnRequest(service, 7);
+  recorder.OnRequest(service, 8);
+  recorder.OnAnswer(service, ServerId("a"), std::chrono::milliseconds(30));
+  ManualClock clock;
+  const auto report = recorder.Take(HostId("h"), clock.Now());
+  const auto back = LoadReport::Decode(report.Encode());
+  EXPECT_EQ(back.host, HostId("h"));
+  const auto& load = back.services.at(service);
+  EXPECT_EQ(load.requests, (std::map<int, int>{{7, 5}}));
+  EXPECT_EQ(load.other_requests, 1);
+  EXPECT_EQ(load.latencies_ms.at(ServerId("a")), std::vector<int>{30});
+  EXPECT_THROW(LoadReport::Decode("x"), InputError);
+}
+
+TEST(LoadView, WeighsServersByTheSpeedThatTheyShow) {
+  LoadView view(64);
+  ManualClock clock;
+  auto servers = MakeServers(3);
+  const std::vector<int> slots(3, 4);
+  view.Weigh(servers, slots, clock.Now());
+  EXPECT_EQ(servers[0].weight, servers[2].weight);
+  for (int round = 0; round < 50; ++round) {
+    ServiceLoad load;
+    load.other_requests = 30;
+    load.latencies_ms[ServerId("s0")] = {40, 45, 50, 300};
+    load.latencies_ms[ServerId("s1")] = {80, 85, 90, 600};
+    load.latencies_ms[ServerId("s2")] = {160, 170, 180, 900};
+    view.Add(load);
+    clock.Advance(std::chrono::milliseconds(500));
+    view.Roll(clock.Now());
+  }
+  view.Weigh(servers, slots, clock.Now());
+  EXPECT_GT(servers[0].weight, 1.3 * servers[1].weight);
+  EXPECT_GT(servers[1].weight, 1.3 * servers[2].weight);
+}
+
+TEST(LoadView, TellsBusyStripesFromAllOthers) {
+  LoadView view(64);
+  ManualClock clock;
+  EXPECT_TRUE(view.StripeLoads().empty());
+  for (int round = 0; round < 10; ++round) {
+    ServiceLoad load;
+    load.requests[5] = 20;
+    load.requests[6] = 2;
+    load.other_requests = 30;
+    view.Add(load);
+    clock.Advance(std::chrono::milliseconds(500));
+    view.Roll(clock.Now());
+  }
+  const auto loads = view.StripeLoads();
+  EXPECT_NEAR(loads[5], 40, 4);
+  EXPECT_EQ(loads[6], loads[0]);
+}
+
 class KeeperLeaseTest : public testing::Test {
  protected:
   ManualClock clock;
   MemoryStore store{this->clock};
-  KeeperLease a{this->store, this->clock, {"a"}};
-  KeeperLease b{this->store, this->clock, {"b"}};
+  KeeperLease a{this->store, this->clock, {"a", "1:1"}};
+  KeeperLease b{this->store, this->clock, {"b", "2:2"}};
 };
 
 TEST_F(KeeperLeaseTest, OneHolderUntilItResigns) {
--- a/tests/keys/owner_world.cc
+++ b/tests/keys/owner_world.cc
@@ -65,7 +65,7 @@
 struct OwnerWorld::Host {
   Host(MemoryStore& memory, const Clock& clock, const std::string& name)
       : store(memory, clock),
-        lease(store, clock, {name}),
+        lease(store, clock, {name, ""}),
         service(ServiceName("s"), store, clock, lease, WorldTiming(),
                 kStripes) {}
 
