Ask an owner that answers 421 once more only; leave out replaced servers

Change: an answer that names another server ejects the target for 10 s; a 421 of the owner itself is followed by one more try after 60 ms, then only by a new owner; three sends at the most.

--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -20,6 +20,8 @@
 constexpr double kLimitPerSlot = 2.0;
 constexpr int kFailuresToEject = 3;
 constexpr auto kFirstEjection = std::chrono::milliseconds(500);
+/// Longer than the entry of a server that has gone stays.
+constexpr auto kReplacedEjection = std::chrono::seconds(10);
 constexpr auto kLongestEjection = std::chrono::seconds(4);
 
 }  // namespace
@@ -77,6 +79,11 @@
   this->ejected_until = now + this->ejection;
 }
 
+auto BackendLoad::OnReplaced(TimePoint now) -> void {
+  --this->in_flight;
+  this->ejected_until = now + kReplacedEjection;
+}
+
 auto BackendLoad::Decrease(TimePoint now, double factor) -> void {
   if (now - this->last_decrease < kDecreaseInterval) return;
   this->last_decrease = now;
--- a/src/backends/backend_target.h
+++ b/src/backends/backend_target.h
@@ -31,6 +31,8 @@
   auto OnRefused(TimePoint now) -> void;
   /// The server failed a request, or could not be reached.
   auto OnFailure(TimePoint now) -> void;
+  /// Another server answers at its address: this one has gone.
+  auto OnReplaced(TimePoint now) -> void;
   /// The request was given up here; it says nothing of the server.
   auto OnAbandoned() -> void { --this->in_flight; }
 
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kBufferedBody = 48 * 1024;
 constexpr auto kConnectTimeout = std::chrono::milliseconds(400);
 constexpr auto kOwnerPoll = std::chrono::milliseconds(20);
+constexpr auto kGrantWait = std::chrono::milliseconds(60);
 constexpr auto kLongestOwnerWait = std::chrono::milliseconds(400);
 constexpr auto kLeastAttempt = std::chrono::milliseconds(20);
 /// A stream that goes on past the deadline is given this much more.
@@ -22,7 +23,7 @@
 constexpr auto kNotReadyRetry = std::chrono::milliseconds(300);
 constexpr auto kNoRoomRetry = std::chrono::milliseconds(200);
 /// Sends of one request, those that servers refused included.
-constexpr int kMostSends = 4;
+constexpr int kMostSends = 3;
 
 /// Headers that concern one connection only.
 constexpr std::array<http::field, 8> kHopByHop = {
@@ -119,7 +120,10 @@
         this->exchange.Abort();
         return;
       case Attempt::kWrongOwner:
-        this->AwaitNewOwner(target->entry.id);
+        if (!this->AwaitOwner(*target)) {
+          this->Refuse("owner-unsure", kNotReadyRetry);
+          return;
+        }
         break;
       case Attempt::kNotRun:
       case Attempt::kMayHaveRun:
@@ -264,11 +268,12 @@
   const auto status = static_cast<unsigned>(connection.Head().result_int());
   const bool is_not_run =
       !connection.Field(this->state.headers.not_run).empty();
-  if (status == 421 || is_not_run) {
+  const bool is_misdirected =
+      status == static_cast<unsigned>(http::status::misdirected_request);
+  if (is_misdirected || is_not_run) {
     while (!connection.ReadBody(this->Left()).empty()) {
     }
-    target.load.OnRefused(this->state.clock.Now());
-    return status == 421 ? Attempt::kWrongOwner : Attempt::kNotRun;
+    return this->NoteRefusal(target, connection, status);
   }
   if (!this->IsUsableAnswer(connection)) {
     throw RequestError(Verdict::kMayHaveRun, "answer without its marks");
@@ -276,6 +281,23 @@
   return this->Deliver(target, connection, sent);
 }
 
+auto ForwardedRequest::NoteRefusal(BackendTarget& target,
+                                   HttpConnection& connection, unsigned status)
+    -> Attempt {
+  const auto now = this->state.clock.Now();
+  const auto answering = connection.Field(this->state.headers.answering_id);
+  const bool is_other =
+      !answering.empty() && answering != target.entry.id.Value();
+  if (is_other) {
+    target.load.OnReplaced(now);
+    return this->is_keyed ? Attempt::kWrongOwner : Attempt::kNotRun;
+  }
+  target.load.OnRefused(now);
+  const bool is_wrong_owner =
+      status == static_cast<unsigned>(http::status::misdirected_request);
+  return is_wrong_owner ? Attempt::kWrongOwner : Attempt::kNotRun;
+}
+
 auto ForwardedRequest::ReadOwnAnswer(HttpConnection& connection) -> void {
   const bool is_head = this->exchange.Request().method() == http::verb::head;
   while (true) {
@@ -381,16 +403,22 @@
   return this->state.BudgetOf(this->service).TryRetry();
 }
 
-auto ForwardedRequest::AwaitNewOwner(const ServerId& old) -> void {
+auto ForwardedRequest::AwaitOwner(const BackendTarget& last) -> bool {
   const auto key = this->Key();
-  if (!this->is_keyed || !key) return;
-  const auto patience = std::min(kLongestOwnerWait, this->Left() / 3);
-  const auto until = this->state.clock.Now() + patience;
-  while (this->state.clock.Now() < until && !this->is_client_gone) {
+  if (!this->is_keyed || !key) return true;
+  const auto now = this->state.clock.Now();
+  // A new owner may be known here before its grant has reached it.
+  const bool is_first =
+      std::count(this->tried.begin(), this->tried.end(), last.entry.id) == 1;
+  const bool may_ask_again = is_first && !last.load.IsEjected(now);
+  const auto patience = std::min(may_ask_again ? kGrantWait : kLongestOwnerWait,
+                                 this->Left() / 3);
+  while (this->state.clock.Now() < now + patience && !this->is_client_gone) {
     const auto* owner = this->state.owners.Find(this->service, *key);
-    if (owner != nullptr && owner->id != old) return;
+    if (owner != nullptr && owner->id != last.entry.id) return true;
     SleepFor(kOwnerPoll);
   }
+  return may_ask_again;
 }
 
 auto ForwardedRequest::Left() const -> std::chrono::milliseconds {
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -43,8 +43,11 @@
   auto Stream(HttpConnection& connection, const std::string& begun) -> Attempt;
   /// @return whether another attempt is made after one that ended so.
   auto MayRetry(Attempt last) -> bool;
-  /// Waits until another server may own the key.
-  auto AwaitNewOwner(const ServerId& old) -> void;
+  /// Waits for a server that may hold the key after the last one did not.
+  /// @return whether the request is worth sending again.
+  auto AwaitOwner(const BackendTarget& last) -> bool;
+  auto NoteRefusal(BackendTarget& target, HttpConnection& connection,
+                   unsigned status) -> Attempt;
   auto BuildRequest(const BackendTarget& target) const -> HttpRequest;
   [[nodiscard]] auto IsUsableAnswer(HttpConnection& connection) const -> bool;
   [[nodiscard]] auto Left() const -> std::chrono::milliseconds;
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -48,9 +48,11 @@
   exchange.Send(std::move(response));
 }
 
-auto WireBackend::NotRun(HttpExchange& exchange, http::status status) -> void {
+auto WireBackend::NotRun(HttpExchange& exchange, http::status status) const
+    -> void {
   HttpResponse response{status, 11};
   response.set("X-Not-Executed", "1");
+  response.set("X-Instance-Id", this->id);
   exchange.Send(std::move(response));
 }
 
@@ -67,12 +69,13 @@
 auto WireBackend::HandleRequest(HttpExchange& exchange) -> void {
   const auto& request = exchange.Request();
   if (!this->MayRun(request)) {
-    NotRun(exchange, http::status::misdirected_request);
+    ++this->misdirected;
+    this->NotRun(exchange, http::status::misdirected_request);
     return;
   }
   if (this->running >= this->behaviour.slots &&
       this->waiting >= this->behaviour.queue) {
-    NotRun(exchange, http::status::service_unavailable);
+    this->NotRun(exchange, http::status::service_unavailable);
     return;
   }
   ++this->waiting;
--- a/src/standins/wire/wire_backend.h
+++ b/src/standins/wire/wire_backend.h
@@ -45,6 +45,9 @@
     return this->deadlines;
   }
   [[nodiscard]] auto Abandoned() const -> int { return this->abandoned; }
+  /// @return how many requests it refused that were not for it, or for keys
+  ///   that it does not hold.
+  [[nodiscard]] auto Misdirected() const -> int { return this->misdirected; }
   [[nodiscard]] auto HeldKeys() const -> int;
 
  private:
@@ -61,7 +64,7 @@
   auto SendAnswer(HttpExchange& exchange, const std::string& request_id)
       -> void;
   [[nodiscard]] auto MayRun(const HttpRequest& request) const -> bool;
-  static auto NotRun(HttpExchange& exchange, http::status status) -> void;
+  auto NotRun(HttpExchange& exchange, http::status status) const -> void;
 
   std::string id;
   SteadyClock clock;
@@ -71,6 +74,7 @@
   int running = 0;
   int waiting = 0;
   int abandoned = 0;
+  int misdirected = 0;
 };
 
 }  // namespace currantbeam
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -201,6 +201,35 @@
   });
 }
 
+TEST_F(Forwarding, LeavesOutServersWhoseAddressAnotherHas) {
+  this->fleet.Run([&] {
+    this->fleet.RegisterGhost("i-ghost", "plain", 2);
+    SleepFor(milliseconds(400));
+    for (int i = 0; i < 20; ++i) {
+      const auto id = "id-" + std::to_string(i);
+      EXPECT_EQ(this->fleet.Send("/safe/a", id).result_int(), 200);
+    }
+    EXPECT_LE(this->fleet.Backend(2).Misdirected(), 1);
+  });
+}
+
+TEST_F(Forwarding, SkipsEntriesThatNameNoServer) {
+  this->fleet.Run([&] {
+    for (const char* value :
+         {"", "{", "[]", "7", R"({"service":"plain"})",
+          R"({"service":"plain","addr":5,"zone":"x","slots":4,
+              "state":"ready","coldLeftS":0,"born":1})",
+          R"({"service":"plain","addr":"127.0.0.1:1","zone":"x","slots":4,
+              "state":"asleep","coldLeftS":0,"born":1})"}) {
+      this->fleet.Store().Put({"servers", "", "i-odd"}, value);
+      SleepFor(milliseconds(200));
+      for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(this->fleet.Send("/safe/a", "id").result_int(), 200) << value;
+      }
+    }
+  });
+}
+
 TEST_F(Forwarding, ServesKeysOnceTheyAreGranted) {
   this->fleet.Run([&] {
     const auto served = [&](int key) {
--- a/tests/platform_wire/wire_fleet.cc
+++ b/tests/platform_wire/wire_fleet.cc
@@ -62,18 +62,29 @@
   this->PutRoutes(1);
 }
 
-auto WireFleet::Register(int number, bool is_draining) -> void {
-  const auto port = this->settings.callers.port + 10 + number;
-  const nlohmann::json entry = {{"service", number < 2 ? "plain" : "keyed"},
+auto WireFleet::PutEntry(const std::string& id, const std::string& service,
+                         int at, const std::string& state) -> void {
+  const auto port = this->settings.callers.port + 10 + at;
+  const nlohmann::json entry = {{"service", service},
                                 {"addr", "127.0.0.1:" + std::to_string(port)},
                                 {"zone", "x"},
                                 {"version", "v1"},
                                 {"slots", 4},
-                                {"state", is_draining ? "draining" : "ready"},
+                                {"state", state},
                                 {"coldLeftS", 0},
                                 {"seq", 1},
-                                {"born", 1700000000000 + number}};
-  this->store.Put({"servers", "", "i-" + std::to_string(number)}, entry.dump());
+                                {"born", 1700000000000 + at}};
+  this->store.Put({"servers", "", id}, entry.dump());
+}
+
+auto WireFleet::Register(int number, bool is_draining) -> void {
+  this->PutEntry("i-" + std::to_string(number), number < 2 ? "plain" : "keyed",
+                 number, is_draining ? "draining" : "ready");
+}
+
+auto WireFleet::RegisterGhost(const std::string& id, const std::string& service,
+                              int at) -> void {
+  this->PutEntry(id, service, at, "ready");
 }
 
 auto WireFleet::Unregister(int number) -> void {
--- a/tests/platform_wire/wire_fleet.h
+++ b/tests/platform_wire/wire_fleet.h
@@ -41,6 +41,10 @@
   }
   /// Writes the server's entry.
   auto Register(int number, bool is_draining = false) -> void;
+  /// Writes an entry of a server that has gone, and whose address a server of
+  /// the fleet has now.
+  auto RegisterGhost(const std::string& id, const std::string& service, int at)
+      -> void;
   auto Unregister(int number) -> void;
   auto PutRoutes(int version, const std::string& extra_route = "") -> void;
   /// Tells the router to stop; returns at once.
@@ -66,6 +70,9 @@
   [[nodiscard]] auto RunsOf(const std::string& id) const -> int;
 
  private:
+  auto PutEntry(const std::string& id, const std::string& service, int at,
+                const std::string& state) -> void;
+
   FiberLoop loop;
   RouterSettings settings;
   WireStore store;
