Tell hosts of owner changes directly; read the store only to catch up

Owners of few stripes were silent for over 0.9 s and had their tokens raised for nothing (commits with no move).

Change: the keeper sends each committed change to the hosts that report to it; a host that missed one learns the version with its next report and reads the store, as does one that lost the keeper or met a wrong owner. Owners that were silent for 0.45 s are renewed early. Backend entries are gathered for 400 ms.

--- a/src/core/events.h
+++ b/src/core/events.h
@@ -46,6 +46,8 @@
 
 constexpr LogEvent kReportLost{804, LogLevel::kInfo, "report-lost"};
 
+constexpr LogEvent kUpdateLost{805, LogLevel::kInfo, "update-lost"};
+
 constexpr LogEvent kRoutesInForce{900, LogLevel::kInfo, "routes-in-force"};
 constexpr LogEvent kRoutesUnread{901, LogLevel::kError, "routes-unread"};
 constexpr LogEvent kBackendKnown{902, LogLevel::kInfo, "backend-known"};
--- a/src/keys/kept_service.cc
+++ b/src/keys/kept_service.cc
@@ -75,9 +75,9 @@
   return this->clock.Now() - this->servers_seen_at >= kServersSettle;
 }
 
-auto KeptService::CommitChanges() -> void {
-  if (!this->lease.IsHeld() || !this->MayCommit()) return;
-  if (!this->keeper.PlanChange()) return;
+auto KeptService::CommitChanges() -> std::optional<OwnerUpdate> {
+  if (!this->lease.IsHeld() || !this->MayCommit()) return std::nullopt;
+  if (!this->keeper.PlanChange()) return std::nullopt;
   StoreWrite write;
   write.conditions.push_back(this->lease.Condition());
   write.conditions.push_back({RowOf(this->name), this->keeper.Version()});
@@ -86,18 +86,25 @@
   const auto result = this->store.Write(write);
   if (result.outcome == WriteOutcome::kWritten) {
     const int moves = this->keeper.PlannedMoves();
+    OwnerUpdate update;
+    update.service = this->name;
+    update.base = this->keeper.Version();
+    update.version = result.version;
+    update.changes =
+        OwnerUpdate::Between(this->keeper.Map(), this->keeper.PlannedMap());
     this->keeper.OnCommitted(result.version);
     Log(events::kOwnersCommitted,
         "service=" + this->name.Value() + " version=" +
             std::to_string(result.version) + " moves=" + std::to_string(moves) +
             " fence=" + std::to_string(this->keeper.Map().LastFence()));
-    return;
+    return update;
   }
   // Without an answer the write may be done already, or be done later.
   this->loaded_term = 0;
   Log(result.outcome == WriteOutcome::kUnknown ? events::kCommitUnknown
                                                : events::kCommitConflict,
       "row=owners/" + this->name.Value());
+  return std::nullopt;
 }
 
 }  // namespace currantbeam
--- a/src/keys/kept_service.h
+++ b/src/keys/kept_service.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "keys/keeper_lease.h"
 #include "keys/load_view.h"
+#include "keys/owner_update.h"
 #include "keys/service_keeper.h"
 
 namespace currantbeam {
@@ -27,7 +29,8 @@
   auto TakeOrders(std::vector<PlannedServer> servers) -> std::vector<KeyOrder>;
   /// Commits the changes that are due, if the lease is held. Not to be called
   /// while the lease is being renewed.
-  auto CommitChanges() -> void;
+  /// @return what was changed, if anything.
+  auto CommitChanges() -> std::optional<OwnerUpdate>;
   /// Takes in what a gateway saw.
   auto OnLoad(const ServiceLoad& load) -> void { this->view.Add(load); }
   [[nodiscard]] auto Keeper() -> ServiceKeeper& { return this->keeper; }
--- a/src/keys/key_keeper.cc
+++ b/src/keys/key_keeper.cc
@@ -29,11 +29,12 @@
 
 KeyKeeper::KeyKeeper(StoreClient& store, GrantClient& grants,
                      const Clock& clock, const BackendDirectory& directory,
-                     const Options& options)
+                     const Options& options, OnChange on_change)
     : store(store),
       grants(grants),
       clock(clock),
       directory(directory),
+      on_change(std::move(on_change)),
       timing(options.grants),
       lease(store, clock, options.lease) {}
 
@@ -102,8 +103,20 @@
   }
   const auto orders = service.TakeOrders(this->ServersOf(service.Name()));
   for (const auto& order : orders) this->Dispatch(service, order);
-  const std::lock_guard lock(this->writing);
-  service.CommitChanges();
+  std::optional<OwnerUpdate> update;
+  {
+    const std::lock_guard lock(this->writing);
+    update = service.CommitChanges();
+  }
+  if (update) this->on_change(*update);
+}
+
+auto KeyKeeper::Versions() -> std::map<ServiceName, StoreVersion> {
+  std::map<ServiceName, StoreVersion> versions;
+  for (auto& [name, service] : this->services) {
+    versions[name] = service.kept.Keeper().Version();
+  }
+  return versions;
 }
 
 auto KeyKeeper::ServersOf(const ServiceName& name) const
--- a/src/keys/key_keeper.h
+++ b/src/keys/key_keeper.h
@@ -2,6 +2,7 @@
 
 #include <boost/fiber/mutex.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -23,13 +24,19 @@
     GrantTiming grants;
   };
 
+  /// Told of each change of owners once it is in the store.
+  using OnChange = std::function<void(const OwnerUpdate&)>;
+
   KeyKeeper(StoreClient& store, GrantClient& grants, const Clock& clock,
-            const BackendDirectory& directory, const Options& options);
+            const BackendDirectory& directory, const Options& options,
+            OnChange on_change);
 
   /// Starts the keeper's fibers on the calling loop.
   auto Start() -> void;
   /// Gives the duty to another host; for good.
   auto Stop() -> void;
+  /// @return the version of each service's owners that is worked on.
+  [[nodiscard]] auto Versions() -> std::map<ServiceName, StoreVersion>;
   auto OnReport(const LoadReport& report) -> void;
   /// @return where reports go; empty if that is not known.
   [[nodiscard]] auto ReportEndpoint() const -> std::string {
@@ -76,6 +83,7 @@
   GrantClient& grants;
   const Clock& clock;
   const BackendDirectory& directory;
+  OnChange on_change;
   GrantTiming timing;
   KeeperLease lease;
   boost::fibers::mutex writing;  ///< One write at a time, as each changes the
--- a/src/keys/load_report.cc
+++ b/src/keys/load_report.cc
@@ -53,6 +53,7 @@
     services[name.Value()] = EncodeService(load);
   }
   const auto bytes = nlohmann::json::to_cbor({{"h", this->host.Value()},
+                                              {"e", this->endpoint},
                                               {"i", this->interval.count()},
                                               {"s", services}});
   return {bytes.begin(), bytes.end()};
@@ -63,6 +64,7 @@
     const auto json = nlohmann::json::from_cbor(text);
     LoadReport report;
     report.host = HostId(json.at("h").get<std::string>());
+    report.endpoint = json.at("e").get<std::string>();
     report.interval = Duration(json.at("i").get<std::int64_t>());
     for (const auto& [name, load] : json.at("s").items()) {
       report.services[ServiceName(name)] = DecodeService(load);
@@ -84,9 +86,11 @@
   list.push_back(static_cast<int>(latency.count() / 1000));
 }
 
-auto LoadRecorder::Take(const HostId& host, TimePoint now) -> LoadReport {
+auto LoadRecorder::Take(const HostId& host, const std::string& endpoint,
+                        TimePoint now) -> LoadReport {
   LoadReport report;
   report.host = host;
+  report.endpoint = endpoint;
   report.interval = now - this->taken_at;
   report.services = std::move(this->services);
   this->services.clear();
--- a/src/keys/load_report.h
+++ b/src/keys/load_report.h
@@ -20,6 +20,7 @@
 /// A gateway's report to the keeper of keys.
 struct LoadReport {
   HostId host;
+  std::string endpoint;  ///< Where the host takes the keeper's updates.
   Duration interval{0};  ///< That the report covers.
   std::map<ServiceName, ServiceLoad> services;
 
@@ -35,7 +36,8 @@
   auto OnAnswer(const ServiceName& service, const ServerId& server,
                 Duration latency) -> void;
   /// @return the report since the last call.
-  auto Take(const HostId& host, TimePoint now) -> LoadReport;
+  auto Take(const HostId& host, const std::string& endpoint, TimePoint now)
+      -> LoadReport;
 
  private:
   std::map<ServiceName, ServiceLoad> services;
--- /dev/null
+++ b/src/keys/owner_update.cc
@@ -0,0 +1,71 @@
+#include "keys/owner_update.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace currantbeam {
+namespace {
+
+auto EncodeOwner(const KeyOwner& owner) -> nlohmann::json {
+  return {owner.id, owner.started.count(), owner.address, owner.port};
+}
+
+auto DecodeOwner(const nlohmann::json& json) -> KeyOwner {
+  return {json.at(0).get<ServerId>(),
+          std::chrono::milliseconds(json.at(1).get<std::int64_t>()),
+          json.at(2).get<std::string>(), json.at(3).get<std::uint16_t>()};
+}
+
+}  // namespace
+
+auto OwnerUpdate::Between(const OwnerMap& before, const OwnerMap& after)
+    -> std::vector<Change> {
+  std::vector<Change> changes;
+  for (int i = 0; i < after.StripeCount(); ++i) {
+    const auto* owner = after.OwnerOf(i);
+    if (owner == nullptr || before.FenceOf(i) == after.FenceOf(i)) continue;
+    changes.push_back({i, *owner, after.FenceOf(i)});
+  }
+  return changes;
+}
+
+auto OwnerUpdate::Encode() const -> std::string {
+  std::vector<KeyOwner> owners;
+  auto changes = nlohmann::json::array();
+  for (const auto& change : this->changes) {
+    auto it = std::find(owners.begin(), owners.end(), change.owner);
+    if (it == owners.end()) it = owners.insert(owners.end(), change.owner);
+    changes.push_back({change.stripe, it - owners.begin(), change.fence});
+  }
+  auto list = nlohmann::json::array();
+  for (const auto& owner : owners) list.push_back(EncodeOwner(owner));
+  const auto bytes = nlohmann::json::to_cbor({{"s", this->service.Value()},
+                                              {"b", this->base},
+                                              {"v", this->version},
+                                              {"o", list},
+                                              {"c", changes}});
+  return {bytes.begin(), bytes.end()};
+}
+
+auto OwnerUpdate::Decode(const std::string& text) -> OwnerUpdate {
+  try {
+    const auto json = nlohmann::json::from_cbor(text);
+    OwnerUpdate update;
+    update.service = json.at("s").get<ServiceName>();
+    update.base = json.at("b").get<StoreVersion>();
+    update.version = json.at("v").get<StoreVersion>();
+    std::vector<KeyOwner> owners;
+    for (const auto& owner : json.at("o")) owners.push_back(DecodeOwner(owner));
+    for (const auto& change : json.at("c")) {
+      const auto index = change.at(1).get<std::size_t>();
+      if (index >= owners.size()) throw InputError("owner update: no owner");
+      update.changes.push_back({change.at(0).get<int>(), owners[index],
+                                change.at(2).get<FencingToken>()});
+    }
+    return update;
+  } catch (const nlohmann::json::exception& error) {
+    throw InputError(std::string("owner update: ") + error.what());
+  }
+}
+
+}  // namespace currantbeam
--- a/src/keys/service_keeper.cc
+++ b/src/keys/service_keeper.cc
@@ -106,8 +106,23 @@
   for (const auto& server : this->servers) {
     const auto it = this->heard_at.find(server.owner.id);
     if (it == this->heard_at.end()) continue;
-    if (now - it->second <= this->timing.most_silence) continue;
-    this->OnContactLost(server.owner);
+    const auto silent = now - it->second;
+    if (silent > this->timing.most_silence) {
+      this->OnContactLost(server.owner);
+    } else if (silent > this->timing.most_silence / 2) {
+      this->RenewOne(server.owner, now);
+    }
+  }
+}
+
+auto ServiceKeeper::RenewOne(const KeyOwner& owner, TimePoint now) -> void {
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
+    const auto* holder = this->map.OwnerOf(i);
+    auto& stripe = this->stripes[i];
+    if (holder == nullptr || !(*holder == owner)) continue;
+    if (stripe.phase != Phase::kHeld) continue;
+    stripe.due = std::min(stripe.due, now);
+    return;
   }
 }
 
--- a/src/keys/service_keeper.h
+++ b/src/keys/service_keeper.h
@@ -106,8 +106,11 @@
   /// @return whether vacant stripes should wait for others.
   auto IsGathering(TimePoint now) -> bool;
   auto EvenOut(TimePoint now) -> void;
-  /// Treats owners that were silent for long like ones that were lost.
+  /// Renews early at owners that were silent for a while, so that each is heard
+  /// of often, and treats ones that were silent for long like ones that were
+  /// lost.
   auto CheckSilence(TimePoint now) -> void;
+  auto RenewOne(const KeyOwner& owner, TimePoint now) -> void;
   auto NoteHeard(const KeyOwner& owner) -> void;
   [[nodiscard]] auto Vacant() const -> std::vector<bool>;
   [[nodiscard]] auto Placement() const -> PlacementState {
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -186,6 +186,7 @@
   const bool is_usable = target != nullptr && !target->entry.is_draining &&
                          target->entry.started == owner->started;
   if (!is_usable) {
+    this->state.owners.AskForRead();
     this->Refuse("owner-gone", kNotReadyRetry);
     return nullptr;
   }
@@ -406,6 +407,7 @@
 auto ForwardedRequest::AwaitOwner(const BackendTarget& last) -> bool {
   const auto key = this->Key();
   if (!this->is_keyed || !key) return true;
+  this->state.owners.AskForRead();
   const auto now = this->state.clock.Now();
   // A new owner may be known here before its grant has reached it.
   const bool is_first =
--- a/src/router/owner_directory.cc
+++ b/src/router/owner_directory.cc
@@ -3,36 +3,66 @@
 #include "core/events.h"
 
 namespace currantbeam {
+namespace {
+
+/// Reads of the store, however many requests find their owner wrong.
+constexpr auto kLeastReadInterval = std::chrono::milliseconds(500);
+
+}  // namespace
 
 auto OwnerDirectory::Find(const ServiceName& service, int key) const
     -> const KeyOwner* {
   if (key < 0 || key >= kKeyCount) return nullptr;
-  const auto it = this->maps.find(service);
-  return it == this->maps.end() ? nullptr : it->second.OwnerOfKey(key);
+  const auto it = this->services.find(service);
+  return it == this->services.end() ? nullptr : it->second.map.OwnerOfKey(key);
 }
 
 auto OwnerDirectory::StripeOf(const ServiceName& service, int key) const
     -> std::optional<int> {
-  const auto it = this->maps.find(service);
-  if (it == this->maps.end()) return std::nullopt;
-  return it->second.StripeOfKey(key);
+  const auto it = this->services.find(service);
+  if (it == this->services.end()) return std::nullopt;
+  return it->second.map.StripeOfKey(key);
 }
 
 auto OwnerDirectory::OnRow(const StoreRow& row) -> void {
+  auto& known = this->services[ServiceName(row.name.key)];
+  if (row.version <= known.version) return;
   try {
-    this->maps[ServiceName(row.name.key)] = OwnerMap::Decode(row.value);
+    known.map = OwnerMap::Decode(row.value);
+    known.version = row.version;
   } catch (const InputError& error) {
     Log(events::kOwnersUnread,
         "service=" + row.name.key + " error=\"" + error.what() + "\"");
   }
 }
 
-auto OwnerDirectory::OnRemoved(const std::string& key) -> void {
-  this->maps.erase(ServiceName(key));
+auto OwnerDirectory::OnUpdate(const OwnerUpdate& update) -> void {
+  auto& known = this->services[update.service];
+  if (update.version <= known.version) return;
+  if (update.base != known.version || known.version == 0) {
+    this->AskForRead();
+    return;
+  }
+  for (const auto& change : update.changes) {
+    if (change.stripe < 0 || change.stripe >= known.map.StripeCount()) continue;
+    known.map.Assign(change.stripe, change.owner, change.fence);
+  }
+  known.version = update.version;
 }
 
-auto OwnerDirectory::OnReachable(bool reachable) -> void {
-  Log(reachable ? events::kTableBack : events::kTableLost, "table=owners");
+auto OwnerDirectory::OnKeeperVersion(const ServiceName& service,
+                                     StoreVersion version) -> void {
+  if (this->services[service].version < version) this->AskForRead();
+}
+
+auto OwnerDirectory::TakeRead() -> bool {
+  const auto now = this->clock.Now();
+  if (!this->is_read_due || now - this->read_at < kLeastReadInterval) {
+    return false;
+  }
+  this->is_read_due = false;
+  this->read_at = now;
+  return true;
 }
 
 }  // namespace currantbeam
--- /dev/null
+++ b/src/router/peer_exchange.cc
@@ -0,0 +1,184 @@
+#include "router/peer_exchange.h"
+
+#include <nlohmann/json.hpp>
+
+#include "core/events.h"
+
+namespace currantbeam {
+namespace {
+
+constexpr auto kReportInterval = std::chrono::milliseconds(500);
+constexpr auto kCallTimeout = std::chrono::milliseconds(400);
+/// A host that has not reported for this long is not told of changes.
+constexpr auto kPeerMemory = std::chrono::seconds(3);
+/// Without contact to the keeper for this long, the store is read instead.
+constexpr auto kKeeperMemory = std::chrono::milliseconds(1500);
+constexpr auto kReadPoll = std::chrono::milliseconds(20);
+constexpr const char* kReportPath = "/loads";
+constexpr const char* kUpdatePath = "/owners";
+
+auto ToText(const Endpoint& endpoint) -> std::string {
+  return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
+/// @return the endpoint; its port is 0 if the text names none.
+auto FromText(const std::string& text) -> Endpoint {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return {};
+  const auto port = std::strtol(text.c_str() + colon + 1, nullptr, 10);
+  return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+auto ServerOptions(const Endpoint& endpoint) -> HttpServer::Options {
+  HttpServer::Options options;
+  options.address = endpoint.address;
+  options.port = endpoint.port;
+  return options;
+}
+
+auto Post(const Endpoint& endpoint, const char* path, std::string body)
+    -> HttpResponse {
+  HttpRequest request{http::verb::post, path, 11};
+  request.body() = std::move(body);
+  return Fetch(endpoint.address, endpoint.port, std::move(request),
+               kCallTimeout);
+}
+
+}  // namespace
+
+PeerExchange::PeerExchange(const RouterSettings& settings, const Clock& clock,
+                           LoadRecorder& loads, OwnerDirectory& owners,
+                           StoreClient& store)
+    : settings(settings),
+      clock(clock),
+      loads(loads),
+      owners(owners),
+      store(store),
+      server(ServerOptions(settings.peers), *this) {}
+
+auto PeerExchange::Start(FiberLoop& loop, KeyKeeper& keeper) -> void {
+  this->keeper = &keeper;
+  this->server.Listen(loop);
+  loop.Spawn([this] { this->RunReports(); });
+  loop.Spawn([this] { this->RunReads(); });
+}
+
+auto PeerExchange::RunReports() -> void {
+  while (true) {
+    SleepFor(kReportInterval);
+    const auto report = this->loads.Take(
+        this->settings.host, ToText(this->settings.peers), this->clock.Now());
+    if (this->keeper->IsActive()) {
+      this->keeper->OnReport(report);
+      this->contact_at = this->clock.Now();
+    } else if (this->SendReport(report)) {
+      this->contact_at = this->clock.Now();
+    }
+    const auto silent = this->clock.Now() - this->contact_at;
+    if (silent > kKeeperMemory) this->owners.AskForRead();
+  }
+}
+
+auto PeerExchange::SendReport(const LoadReport& report) -> bool {
+  const auto endpoint = FromText(this->keeper->ReportEndpoint());
+  if (endpoint.port == 0) return false;
+  try {
+    const auto response = Post(endpoint, kReportPath, report.Encode());
+    if (response.result() != http::status::ok) return false;
+    const auto versions = nlohmann::json::from_cbor(response.body());
+    for (const auto& [name, version] : versions.items()) {
+      this->owners.OnKeeperVersion(ServiceName(name),
+                                   version.get<StoreVersion>());
+    }
+    return true;
+  } catch (const RequestError& error) {
+    Log(events::kReportLost,
+        "keeper=" + ToText(endpoint) + " error=\"" + error.what() + "\"");
+  } catch (const nlohmann::json::exception& error) {
+    Log(events::kBadPeerMessage, std::string("error=\"") + error.what() + "\"");
+  }
+  return false;
+}
+
+auto PeerExchange::RunReads() -> void {
+  while (true) {
+    if (this->owners.TakeRead()) this->ReadOwners();
+    SleepFor(kReadPoll);
+  }
+}
+
+auto PeerExchange::ReadOwners() -> void {
+  try {
+    for (const auto& row : this->store.Read(kOwnersTable, "").rows) {
+      this->owners.OnRow(row);
+    }
+  } catch (const StoreError& error) {
+    Log(events::kOwnersUnread, std::string("error=\"") + error.what() + "\"");
+    this->owners.AskForRead();
+  }
+}
+
+auto PeerExchange::Publish(const OwnerUpdate& update) -> void {
+  this->owners.OnUpdate(update);
+  const auto body = update.Encode();
+  for (const auto& [host, peer] : this->peers) {
+    if (this->clock.Now() - peer.heard_at > kPeerMemory) continue;
+    FiberLoop::Current().Spawn([this, endpoint = peer.endpoint, body] {
+      this->SendUpdate(endpoint, body);
+    });
+  }
+}
+
+auto PeerExchange::SendUpdate(const Endpoint& endpoint, const std::string& body)
+    -> void {
+  try {
+    Post(endpoint, kUpdatePath, body);
+  } catch (const RequestError& error) {
+    // The answer to the host's next report tells it that it missed something.
+    Log(events::kUpdateLost,
+        "peer=" + ToText(endpoint) + " error=\"" + error.what() + "\"");
+  }
+}
+
+auto PeerExchange::Handle(HttpExchange& exchange) -> void {
+  const auto& request = exchange.Request();
+  try {
+    if (request.target() == kReportPath) {
+      this->TakeReport(exchange);
+      return;
+    }
+    if (request.target() == kUpdatePath) {
+      this->owners.OnUpdate(OwnerUpdate::Decode(request.body()));
+      exchange.Send(HttpResponse{http::status::ok, 11});
+      return;
+    }
+    exchange.Send(HttpResponse{http::status::not_found, 11});
+  } catch (const InputError& error) {
+    this->OnBadInput(error.what());
+    exchange.Send(HttpResponse{http::status::bad_request, 11});
+  }
+}
+
+auto PeerExchange::TakeReport(HttpExchange& exchange) -> void {
+  if (!this->keeper->IsActive()) {
+    exchange.Send(HttpResponse{http::status::service_unavailable, 11});
+    return;
+  }
+  const auto report = LoadReport::Decode(exchange.Request().body());
+  this->peers[report.host] = {FromText(report.endpoint), this->clock.Now()};
+  this->keeper->OnReport(report);
+  auto versions = nlohmann::json::object();
+  for (const auto& [name, version] : this->keeper->Versions()) {
+    versions[name.Value()] = version;
+  }
+  const auto bytes = nlohmann::json::to_cbor(versions);
+  HttpResponse response{http::status::ok, 11};
+  response.body().assign(bytes.begin(), bytes.end());
+  exchange.Send(std::move(response));
+}
+
+auto PeerExchange::OnBadInput(const std::string& what) -> void {
+  Log(events::kBadPeerMessage, "what=\"" + what + "\"");
+}
+
+}  // namespace currantbeam
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -14,10 +14,7 @@
 constexpr double kRetryPart = 0.8;
 constexpr auto kSweepInterval = std::chrono::milliseconds(200);
 constexpr int kSweepsPerSettingsPoll = 5;
-constexpr auto kReportInterval = std::chrono::milliseconds(500);
-constexpr auto kReportTimeout = std::chrono::milliseconds(400);
-constexpr const char* kReportPath = "/loads";
-constexpr auto kBackendBatching = std::chrono::milliseconds(150);
+constexpr auto kBackendBatching = std::chrono::milliseconds(400);
 /// Of the time until the process is killed: when the last connections are
 /// closed, and when work that still runs is given up.
 constexpr double kCloseIdlePart = 0.5;
@@ -53,6 +50,9 @@
     : settings(settings),
       peers(std::move(peers)),
       directory(this->clock),
+      owners(this->clock),
+      exchange(settings, this->clock, this->loads, this->owners,
+               this->peers.store),
       state{this->clock,
             this->peers.headers,
             this->directory,
@@ -69,9 +69,10 @@
       callers(OptionsFor(settings.callers), this->forwarder),
       readiness(OptionsFor(settings.readiness), this->readiness_handler),
       keeper(this->peers.store, this->peers.grants, this->clock,
-             this->directory, KeeperOptions(settings)),
-      report_handler(this->keeper),
-      reports(OptionsFor(settings.peers), this->report_handler),
+             this->directory, KeeperOptions(settings),
+             [this](const OwnerUpdate& update) {
+               this->exchange.Publish(update);
+             }),
       routes_listener(
           this->peers.schema,
           [this](RouteConfig config) { this->TakeRoutes(std::move(config)); }),
@@ -82,15 +83,12 @@
 auto RouterProcess::Run() -> void {
   this->callers.Listen(this->loop);
   this->readiness.Listen(this->loop);
-  this->reports.Listen(this->loop);
-  this->loop.Spawn([this] { this->ReportLoads(); });
+  this->exchange.Start(this->loop, this->keeper);
   this->loop.Spawn([this] {
     this->StartFollowing(this->peers.schema.RoutesTable(),
                          this->routes_listener, std::chrono::milliseconds(0));
     this->StartFollowing(this->peers.schema.BackendsTable(),
                          this->backends_listener, kBackendBatching);
-    this->StartFollowing(kOwnersTable, this->owners,
-                         std::chrono::milliseconds(0));
     this->keeper.Start();
     this->Sweep();
   });
@@ -135,32 +133,6 @@
   }
 }
 
-auto RouterProcess::ReportLoads() -> void {
-  while (true) {
-    SleepFor(kReportInterval);
-    const auto report =
-        this->loads.Take(this->settings.host, this->clock.Now());
-    if (report.services.empty()) continue;
-    if (this->keeper.IsActive()) {
-      this->keeper.OnReport(report);
-      continue;
-    }
-    const auto endpoint = this->keeper.ReportEndpoint();
-    const auto colon = endpoint.rfind(':');
-    if (colon == std::string::npos) continue;
-    HttpRequest request{http::verb::post, kReportPath, 11};
-    request.body() = report.Encode();
-    try {
-      const auto port = std::stoi(endpoint.substr(colon + 1));
-      Fetch(endpoint.substr(0, colon), static_cast<std::uint16_t>(port),
-            std::move(request), kReportTimeout);
-    } catch (const RequestError&) {
-      // The keeper goes on with what the next report says.
-      Log(events::kReportLost, "keeper=" + endpoint);
-    }
-  }
-}
-
 auto RouterProcess::PollSettings() -> void {
   try {
     const auto changed = this->peers.settings.Poll();
@@ -206,20 +178,6 @@
   this->loop.Stop();
 }
 
-auto RouterProcess::ReportHandler::Handle(HttpExchange& exchange) -> void {
-  try {
-    this->keeper.OnReport(LoadReport::Decode(exchange.Request().body()));
-    exchange.Send(HttpResponse{http::status::ok, 11});
-  } catch (const InputError& error) {
-    Log(events::kBadPeerMessage, std::string("error=\"") + error.what() + "\"");
-    exchange.Send(HttpResponse{http::status::bad_request, 11});
-  }
-}
-
-auto RouterProcess::ReportHandler::OnBadInput(const std::string& what) -> void {
-  Log(events::kBadPeerMessage, "what=\"" + what + "\"");
-}
-
 auto RouterProcess::ReadinessHandler::Handle(HttpExchange& exchange) -> void {
   const bool is_ready = this->process.IsReady();
   HttpResponse response{
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -4,6 +4,7 @@
 
 #include "keys/keys.h"
 #include "program/program.h"
+#include "router/peer_exchange.h"
 #include "router/request_forwarder.h"
 #include "router/router_settings.h"
 #include "router/store_listeners.h"
@@ -43,18 +44,6 @@
     const RouterProcess& process;
   };
 
-  /// Takes other hosts' reports of load.
-  class ReportHandler : public HttpHandler {
-   public:
-    explicit ReportHandler(KeyKeeper& keeper) : keeper(keeper) {}
-    auto Handle(HttpExchange& exchange) -> void override;
-    auto OnBadInput(const std::string& what) -> void override;
-
-   private:
-    KeyKeeper& keeper;
-  };
-
-  auto ReportLoads() -> void;
   auto StartFollowing(const std::string& table, TableListener& listener,
                       std::chrono::milliseconds batching) -> void;
   auto TakeRoutes(RouteConfig config) -> void;
@@ -71,14 +60,13 @@
   BackendDirectory directory;
   OwnerDirectory owners;
   LoadRecorder loads;
+  PeerExchange exchange;
   ForwardingState state;
   RequestForwarder forwarder;
   ReadinessHandler readiness_handler;
   HttpServer callers;
   HttpServer readiness;
   KeyKeeper keeper;
-  ReportHandler report_handler;
-  HttpServer reports;
   RoutesListener routes_listener;
   BackendsListener backends_listener;
   StopSignal stop_signal;
--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -203,9 +203,10 @@
   recorder.OnRequest(service, 8);
   recorder.OnAnswer(service, ServerId("a"), std::chrono::milliseconds(30));
   ManualClock clock;
-  const auto report = recorder.Take(HostId("h"), clock.Now());
+  const auto report = recorder.Take(HostId("h"), "1.2.3.4:5", clock.Now());
   const auto back = LoadReport::Decode(report.Encode());
   EXPECT_EQ(back.host, HostId("h"));
+  EXPECT_EQ(back.endpoint, "1.2.3.4:5");
   const auto& load = back.services.at(service);
   EXPECT_EQ(load.requests, (std::map<int, int>{{7, 5}}));
   EXPECT_EQ(load.other_requests, 1);
