--- a/src/keys/load_view.cc
+++ b/src/keys/load_view.cc
@@ -10,18 +10,20 @@
 /// The quantile of latencies that speeds go by: low, as waiting is no part of
 /// a server's speed.
 constexpr double kQuantile = 0.3;
-constexpr double kQuantileStep = 0.08;
+/// A sample moves the estimate by this part, the first ones by more.
+constexpr double kQuantileStep = 0.03;
+constexpr double kFirstQuantileStep = 0.3;
 /// A typical service time, in that quantile.
 constexpr double kMeanPerQuantile = 1.8;
-constexpr int kLeastSamples = 30;
+constexpr int kLeastSamples = 40;
 /// Parts are made for at least this utilisation, so that they change little
 /// while the load swings below it.
 constexpr double kLeastUtilisation = 0.5;
 /// Sum of the changes of all parts from which new parts are worth the moves.
-constexpr double kLeastChange = 0.25;
+constexpr double kLeastChange = 0.3;
 /// Weights stay for this long, as every change moves keys.
 constexpr auto kWeighInterval = std::chrono::seconds(5);
-constexpr auto kRateHalfLife = std::chrono::milliseconds(700);
+constexpr auto kRateHalfLife = std::chrono::milliseconds(1200);
 /// How fast the highest rate seen is forgotten.
 constexpr auto kPeakHalfLife = std::chrono::seconds(20);
 /// Load to expect beyond the highest of late.
@@ -59,9 +61,11 @@
     for (const int latency : latencies) {
       const double sample = std::max(latency, 1);
       if (speed.samples++ == 0) speed.latency_ms = sample;
+      const double step =
+          std::max(kQuantileStep, kFirstQuantileStep / speed.samples);
       const bool is_below = sample < speed.latency_ms;
-      speed.latency_ms *= is_below ? 1 - kQuantileStep * (1 - kQuantile)
-                                   : 1 + kQuantileStep * kQuantile;
+      speed.latency_ms *=
+          is_below ? 1 - step * (1 - kQuantile) : 1 + step * kQuantile;
     }
   }
 }
--- a/src/keys/stripe_planner.cc
+++ b/src/keys/stripe_planner.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Stripes move once a server is this far above its part.
-constexpr double kTolerance = 0.25;
+constexpr double kTolerance = 0.35;
 /// Walks the stripes in an order that spreads moves over the whole range; has
 /// no factor in common with the number of stripes.
 constexpr int kWalkStep = 1237;
