Read the lease only when the keeper is silent; limits below one request

Change: a keeper that takes this host's reports has the lease, so the row is not read; a limit below one lets a part of the requests through; a reset within 30 ms counts as a refusal for lack of room. Entries are gathered for 800 ms. Reports name up to 64 stripes instead of those with two requests.

--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -15,7 +15,7 @@
 constexpr double kSlowFactor = 0.9;
 /// Multiple of the target beyond which an answer counts as a sign of a queue.
 constexpr double kSlowTargets = 0.8;
-constexpr double kLeastLimit = 1.0;
+constexpr double kLeastLimit = 0.1;
 /// Requests out at a time for each slot, at the most, from one gateway.
 constexpr double kLimitPerSlot = 2.0;
 constexpr int kFailuresToEject = 3;
@@ -49,6 +49,15 @@
   return Duration(static_cast<std::int64_t>(expected * (1 + queued)));
 }
 
+auto BackendLoad::Admit() -> bool {
+  if (!this->HasRoom()) return false;
+  if (this->limit >= 1) return true;
+  this->credit += this->limit;
+  if (this->credit < 1) return false;
+  this->credit -= 1;
+  return true;
+}
+
 auto BackendLoad::OnAnswer(TimePoint now, Duration latency, Duration target)
     -> void {
   --this->in_flight;
@@ -62,8 +71,8 @@
     this->Decrease(now, kSlowFactor);
     return;
   }
-  this->limit = std::min(this->limit + 1 / std::max(this->limit, 1.0),
-                         kLimitPerSlot * this->slots);
+  const double step = this->limit < 1 ? this->limit : 1 / this->limit;
+  this->limit = std::min(this->limit + step, kLimitPerSlot * this->slots);
 }
 
 auto BackendLoad::OnRefused(TimePoint now) -> void {
--- a/src/backends/backend_target.h
+++ b/src/backends/backend_target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 
 #include "backends/backend_entry.h"
@@ -20,8 +21,12 @@
   [[nodiscard]] auto IsEjected(TimePoint now) const -> bool {
     return now < this->ejected_until;
   }
+  /// @return whether one more request may be sent. A limit below one lets a
+  ///   part of the requests through: many gateways may share few slots.
+  [[nodiscard]] auto Admit() -> bool;
+  /// @return whether Admit would, leaving aside limits below one.
   [[nodiscard]] auto HasRoom() const -> bool {
-    return this->in_flight < static_cast<int>(this->limit);
+    return this->in_flight < std::max(static_cast<int>(this->limit), 1);
   }
 
   auto OnSent() -> void { ++this->in_flight; }
@@ -43,6 +48,7 @@
   int in_flight = 0;
   int failures_in_row = 0;
   double limit;
+  double credit = 0;  ///< Towards the next request, while limit is below one.
   double latency_us;
   Duration first_estimate;
   TimePoint last_decrease;
--- a/src/keys/key_keeper.cc
+++ b/src/keys/key_keeper.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr auto kContactMemory = std::chrono::milliseconds(1500);
 constexpr auto kPause = std::chrono::milliseconds(500);
 /// Some calls may be lost while the server goes on.
 constexpr int kFailuresToPause = 4;
@@ -68,12 +69,7 @@
 
 auto KeyKeeper::RunLease() -> void {
   while (!this->stopped) {
-    Duration pause{0};
-    {
-      const std::lock_guard lock(this->writing);
-      if (this->stopped) return;
-      pause = this->lease.Step();
-    }
+    const auto pause = this->StepLease();
     const bool is_held = this->lease.IsHeld();
     if (is_held != this->was_held) {
       Log(events::kKeeperRole,
@@ -84,6 +80,19 @@
   }
 }
 
+auto KeyKeeper::StepLease() -> Duration {
+  const std::lock_guard lock(this->writing);
+  if (this->stopped) return Duration(kTick);
+  // A keeper that answers has the lease; the row need not be read.
+  const bool is_kept = !this->lease.IsHeld() &&
+                       this->clock.Now() - this->contact_at < kContactMemory;
+  return is_kept ? Duration(kTick) : this->lease.Step();
+}
+
+auto KeyKeeper::OnKeeperContact(bool is_alive) -> void {
+  this->contact_at = is_alive ? this->clock.Now() : TimePoint{};
+}
+
 auto KeyKeeper::RunServices() -> void {
   while (!this->stopped) {
     if (this->lease.IsHeld()) {
@@ -111,12 +120,12 @@
   if (update) this->on_change(*update);
 }
 
-auto KeyKeeper::Versions() -> std::map<ServiceName, StoreVersion> {
-  std::map<ServiceName, StoreVersion> versions;
+auto KeyKeeper::Advice() -> std::vector<KeeperAdvice> {
+  std::vector<KeeperAdvice> advice;
   for (auto& [name, service] : this->services) {
-    versions[name] = service.kept.Keeper().Version();
+    advice.push_back({name, service.kept.Keeper().Version()});
   }
-  return versions;
+  return advice;
 }
 
 auto KeyKeeper::ServersOf(const ServiceName& name) const
--- a/src/keys/key_keeper.h
+++ b/src/keys/key_keeper.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "backends/backends.h"
+#include "keys/keeper_advice.h"
 #include "keys/keeper_lease.h"
 #include "keys/kept_service.h"
 #include "runtime/runtime.h"
@@ -35,14 +36,16 @@
   auto Start() -> void;
   /// Gives the duty to another host; for good.
   auto Stop() -> void;
-  /// @return the version of each service's owners that is worked on.
-  [[nodiscard]] auto Versions() -> std::map<ServiceName, StoreVersion>;
+  /// @return what a gateway is told when it reports.
+  [[nodiscard]] auto Advice() -> std::vector<KeeperAdvice>;
   auto OnReport(const LoadReport& report) -> void;
   /// @return where reports go; empty if that is not known.
   [[nodiscard]] auto ReportEndpoint() const -> std::string {
     return this->lease.HolderEndpoint();
   }
   [[nodiscard]] auto IsActive() const -> bool { return this->lease.IsHeld(); }
+  /// The keeper took a report of this host, or did not.
+  auto OnKeeperContact(bool is_alive) -> void;
   auto SetServices(const std::set<ServiceName>& keyed) -> void;
 
  private:
@@ -64,6 +67,7 @@
   };
 
   auto RunLease() -> void;
+  auto StepLease() -> Duration;
   auto RunServices() -> void;
   auto Tick(KeptService& service) -> void;
   [[nodiscard]] auto ServersOf(const ServiceName& name) const
@@ -91,6 +95,7 @@
   std::map<ServiceName, Service> services;  ///< Never erased, as calls refer
                                             ///< to them.
   std::map<std::string, Lane> lanes;
+  TimePoint contact_at{};  ///< When the keeper last showed that it is active.
   bool was_held = false;
   bool stopped = false;
 };
--- a/src/keys/keys.h
+++ b/src/keys/keys.h
@@ -5,6 +5,7 @@
 /// a service, who decides it, and how the owners are granted them.
 
 #include "keys/grant_client.h"
+#include "keys/keeper_advice.h"
 #include "keys/keeper_lease.h"
 #include "keys/kept_service.h"
 #include "keys/key_keeper.h"
--- a/src/keys/load_report.cc
+++ b/src/keys/load_report.cc
@@ -1,5 +1,7 @@
 #include "keys/load_report.h"
 
+#include <algorithm>
+#include <functional>
 #include <nlohmann/json.hpp>
 
 namespace currantbeam {
@@ -7,8 +9,9 @@
 
 /// Latencies of one server that are reported at a time.
 constexpr std::size_t kMostLatencies = 8;
-/// Stripes with fewer requests are not reported one by one.
-constexpr int kLeastRequests = 2;
+/// Stripes that are reported one by one, at the most; where many gateways
+/// share a busy stripe, each sees few requests for it.
+constexpr std::size_t kMostStripes = 64;
 
 auto EncodeService(const ServiceLoad& load) -> nlohmann::json {
   auto requests = nlohmann::json::array();
@@ -34,9 +37,16 @@
   return load;
 }
 
+/// Leaves the busiest stripes and counts the others together.
 auto FoldSmall(ServiceLoad& load) -> void {
+  if (load.requests.size() <= kMostStripes) return;
+  std::vector<int> counts;
+  for (const auto& [stripe, count] : load.requests) counts.push_back(count);
+  std::nth_element(counts.begin(), counts.begin() + kMostStripes, counts.end(),
+                   std::greater<>());
+  const int least = counts[kMostStripes] + 1;
   for (auto it = load.requests.begin(); it != load.requests.end();) {
-    if (it->second >= kLeastRequests) {
+    if (it->second >= least) {
       ++it;
       continue;
     }
--- a/src/keys/load_share.h
+++ b/src/keys/load_share.h
@@ -11,6 +11,11 @@
 struct ServerCapacity {
   int slots = 1;
   Duration service_time{0};  ///< Of a typical request, without waiting.
+
+  [[nodiscard]] auto RequestsPerSecond() const -> double {
+    const std::chrono::duration<double> time(this->service_time);
+    return this->slots / time.count();
+  }
 };
 
 /// Divides a service's requests among servers of different speed so that the
--- a/src/keys/load_view.cc
+++ b/src/keys/load_view.cc
@@ -131,9 +131,8 @@
   }
 }
 
-auto LoadView::Parts(const std::vector<PlannedServer>& servers,
-                     const std::vector<int>& slots) const
-    -> std::vector<double> {
+auto LoadView::MeanLatency(const std::vector<PlannedServer>& servers) const
+    -> double {
   double sum = 0;
   int known = 0;
   for (const auto& server : servers) {
@@ -145,23 +144,34 @@
     ++known;
   }
   // Until most are known, a server that seems slow may be like the others.
-  if (known * 2 < static_cast<int>(servers.size()) || known == 0) return {};
+  const bool is_enough =
+      known != 0 && known * 2 >= static_cast<int>(servers.size());
+  return is_enough ? sum / known : 0;
+}
+
+auto LoadView::CapacityOf(const ServerId& id, int slots,
+                          double mean_latency_ms) const -> ServerCapacity {
+  const auto it = this->speeds.find(id);
+  const bool is_known =
+      it != this->speeds.end() && it->second.samples >= kLeastSamples;
+  const double latency = is_known ? it->second.latency_ms : mean_latency_ms;
+  return {slots, Duration(static_cast<std::int64_t>(latency * kMeanPerQuantile *
+                                                    1000))};
+}
+
+auto LoadView::Parts(const std::vector<PlannedServer>& servers,
+                     const std::vector<int>& slots) const
+    -> std::vector<double> {
+  const double mean = this->MeanLatency(servers);
+  if (mean <= 0) return {};
   std::vector<ServerCapacity> capacities;
+  double total = 0;
   for (std::size_t i = 0; i < servers.size(); ++i) {
-    const auto it = this->speeds.find(servers[i].owner.id);
-    const bool is_known =
-        it != this->speeds.end() && it->second.samples >= kLeastSamples;
-    const double latency = is_known ? it->second.latency_ms : sum / known;
-    capacities.push_back({slots[i], Duration(static_cast<std::int64_t>(
-                                        latency * kMeanPerQuantile * 1000))});
-  }
-  double capacity = 0;
-  for (const auto& one : capacities) {
-    const std::chrono::duration<double> time(one.service_time);
-    capacity += one.slots / time.count();
+    capacities.push_back(this->CapacityOf(servers[i].owner.id, slots[i], mean));
+    total += capacities.back().RequestsPerSecond();
   }
   return ShareLoad(capacities, std::max(this->peak_rate * kHeadroom,
-                                        capacity * kLeastUtilisation));
+                                        total * kLeastUtilisation));
 }
 
 }  // namespace currantbeam
--- a/src/keys/load_view.h
+++ b/src/keys/load_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -39,6 +40,13 @@
   [[nodiscard]] auto Parts(const std::vector<PlannedServer>& servers,
                            const std::vector<int>& slots) const
       -> std::vector<double>;
+  /// @return the server's capacity, by the mean of all if its speed is not
+  ///   known.
+  [[nodiscard]] auto CapacityOf(const ServerId& id, int slots,
+                                double mean_latency_ms) const -> ServerCapacity;
+  /// @return the mean of the known speeds; 0 if too few are known.
+  [[nodiscard]] auto MeanLatency(
+      const std::vector<PlannedServer>& servers) const -> double;
   [[nodiscard]] auto TotalRate() const -> double;
 
   std::vector<double> rates;  ///< Requests a second, by stripe.
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -14,6 +14,7 @@
 /// that one that breaks off can be asked for again.
 constexpr std::size_t kBufferedBody = 48 * 1024;
 constexpr auto kConnectTimeout = std::chrono::milliseconds(400);
+constexpr auto kQuickReset = std::chrono::milliseconds(30);
 constexpr auto kOwnerPoll = std::chrono::milliseconds(20);
 constexpr auto kGrantWait = std::chrono::milliseconds(60);
 constexpr auto kLongestOwnerWait = std::chrono::milliseconds(400);
@@ -192,7 +193,7 @@
   }
   const auto now = this->state.clock.Now();
   const bool is_late = now + target->load.ExpectedLatency(now) > this->deadline;
-  if (!target->load.HasRoom() || target->load.IsEjected(now) || is_late) {
+  if (target->load.IsEjected(now) || is_late || !target->load.Admit()) {
     this->Refuse("owner-busy", kNoRoomRetry);
     return nullptr;
   }
@@ -234,7 +235,14 @@
       load.OnAbandoned();
       return Attempt::kClientGone;
     }
-    load.OnFailure(this->state.clock.Now());
+    const auto now = this->state.clock.Now();
+    // A full server resets connections at once.
+    const bool may_be_full = now - sent < kQuickReset;
+    if (may_be_full) {
+      load.OnRefused(now);
+    } else {
+      load.OnFailure(now);
+    }
     Log(events::kFailed, "request=" + std::string(this->RequestId()) +
                              " server=" + entry.id.Value() + " error=\"" +
                              error.what() + "\"");
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -1,7 +1,5 @@
 #include "router/peer_exchange.h"
 
-#include <nlohmann/json.hpp>
-
 #include "core/events.h"
 
 namespace currantbeam {
@@ -70,9 +68,12 @@
         this->settings.host, ToText(this->settings.peers), this->clock.Now());
     if (this->keeper->IsActive()) {
       this->keeper->OnReport(report);
+      this->ApplyAdvice(this->keeper->Advice());
       this->contact_at = this->clock.Now();
-    } else if (this->SendReport(report)) {
-      this->contact_at = this->clock.Now();
+    } else {
+      const bool is_taken = this->SendReport(report);
+      this->keeper->OnKeeperContact(is_taken);
+      if (is_taken) this->contact_at = this->clock.Now();
     }
     const auto silent = this->clock.Now() - this->contact_at;
     if (silent > kKeeperMemory) this->owners.AskForRead();
@@ -85,21 +86,24 @@
   try {
     const auto response = Post(endpoint, kReportPath, report.Encode());
     if (response.result() != http::status::ok) return false;
-    const auto versions = nlohmann::json::from_cbor(response.body());
-    for (const auto& [name, version] : versions.items()) {
-      this->owners.OnKeeperVersion(ServiceName(name),
-                                   version.get<StoreVersion>());
-    }
+    this->ApplyAdvice(DecodeAdvice(response.body()));
     return true;
   } catch (const RequestError& error) {
     Log(events::kReportLost,
         "keeper=" + ToText(endpoint) + " error=\"" + error.what() + "\"");
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const InputError& error) {
     Log(events::kBadPeerMessage, std::string("error=\"") + error.what() + "\"");
   }
   return false;
 }
 
+auto PeerExchange::ApplyAdvice(const std::vector<KeeperAdvice>& advice)
+    -> void {
+  for (const auto& one : advice) {
+    this->owners.OnKeeperVersion(one.service, one.version);
+  }
+}
+
 auto PeerExchange::RunReads() -> void {
   while (true) {
     if (this->owners.TakeRead()) this->ReadOwners();
@@ -167,13 +171,8 @@
   const auto report = LoadReport::Decode(exchange.Request().body());
   this->peers[report.host] = {FromText(report.endpoint), this->clock.Now()};
   this->keeper->OnReport(report);
-  auto versions = nlohmann::json::object();
-  for (const auto& [name, version] : this->keeper->Versions()) {
-    versions[name.Value()] = version;
-  }
-  const auto bytes = nlohmann::json::to_cbor(versions);
   HttpResponse response{http::status::ok, 11};
-  response.body().assign(bytes.begin(), bytes.end());
+  response.body() = EncodeAdvice(this->keeper->Advice());
   exchange.Send(std::move(response));
 }
 
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -35,6 +35,7 @@
   auto RunReports() -> void;
   auto RunReads() -> void;
   auto SendReport(const LoadReport& report) -> bool;
+  auto ApplyAdvice(const std::vector<KeeperAdvice>& advice) -> void;
   auto TakeReport(HttpExchange& exchange) -> void;
   auto SendUpdate(const Endpoint& endpoint, const std::string& body) -> void;
   auto ReadOwners() -> void;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -14,7 +14,7 @@
 constexpr double kRetryPart = 0.8;
 constexpr auto kSweepInterval = std::chrono::milliseconds(200);
 constexpr int kSweepsPerSettingsPoll = 5;
-constexpr auto kBackendBatching = std::chrono::milliseconds(400);
+constexpr auto kBackendBatching = std::chrono::milliseconds(800);
 /// Of the time until the process is killed: when the last connections are
 /// closed, and when work that still runs is given up.
 constexpr double kCloseIdlePart = 0.5;
