--- a/src/keys/load_share.cc
+++ b/src/keys/load_share.cc
@@ -54,8 +54,8 @@
     *least = marginal(i);
   }
   const double sum = rate > 0 ? rate : 1;
-  for (auto& one : rates)
-    one = rate > 0 ? one / sum : 1.0 / static_cast<double>(count);
+  const double even = 1.0 / static_cast<double>(count);
+  for (auto& one : rates) one = rate > 0 ? one / sum : even;
   return rates;
 }
 
--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -20,6 +20,7 @@
 
 auto MakeServers(int count) -> std::vector<PlannedServer> {
   std::vector<PlannedServer> servers;
+  servers.reserve(count);
   for (int i = 0; i < count; ++i) servers.push_back({MakeOwner(i), 4});
   return servers;
 }
@@ -101,8 +102,8 @@
   OwnerMap map;
   DealAll(map, servers);
   const auto counts = CountStripes(map);
-  EXPECT_NEAR(counts.at("s0"), map.StripeCount() / 2, 8);
-  EXPECT_NEAR(counts.at("s1"), map.StripeCount() / 6, 8);
+  EXPECT_NEAR(counts.at("s0"), map.StripeCount() / 2.0, 8);
+  EXPECT_NEAR(counts.at("s1"), map.StripeCount() / 6.0, 8);
 }
 
 TEST(StripePlanner, MovesToAServerThatJoinsOnlyItsPart) {
@@ -113,8 +114,8 @@
   const auto nine = MakeServers(9);
   const auto leaving =
       StripePlanner::Even({map, vacant, ten, {}}, map.StripeCount());
-  EXPECT_NEAR(static_cast<int>(leaving.size()), map.StripeCount() / 10,
-              map.StripeCount() / 50);
+  EXPECT_NEAR(static_cast<double>(leaving.size()), map.StripeCount() / 10.0,
+              map.StripeCount() / 50.0);
   EXPECT_TRUE(
       StripePlanner::Even({map, vacant, nine, {}}, map.StripeCount()).empty());
 }
