Share the fleet's retries among the hosts that report

Cause: the limits of a service's retries were divided by 12 hosts, a constant. On 65 or 83 hosts the fleet's extra would have been given out five to seven times over. Limits read again from the settings also never reached a service's budget once it existed.

Change: the keeper's answer to a report says how many hosts report. A host takes the largest number of the last 20 s, so that a partition or a change of keeper doesn't raise anyone's part, and 100 before it was told any.

Tests: budgets of 1 to 300 hosts together keep to the fleet's limits; changed limits reach a budget; the number of hosts grows at once and shrinks late. The first fails with the constant of 12 at 65 hosts.

--- a/src/keys/keeper_advice.cc
+++ b/src/keys/keeper_advice.cc
@@ -4,23 +4,24 @@
 
 namespace currantbeam {
 
-auto EncodeAdvice(const std::vector<KeeperAdvice>& advice) -> std::string {
-  auto json = nlohmann::json::array();
-  for (const auto& one : advice) {
-    json.push_back({one.service.Value(), one.version});
+auto KeeperAdvice::Encode() const -> std::string {
+  auto versions = nlohmann::json::array();
+  for (const auto& [service, version] : this->versions) {
+    versions.push_back({service.Value(), version});
   }
-  const auto bytes = nlohmann::json::to_cbor(json);
+  const auto bytes = nlohmann::json::to_cbor({this->hosts, versions});
   return {bytes.begin(), bytes.end()};
 }
 
-auto DecodeAdvice(const std::string& text) -> std::vector<KeeperAdvice> {
+auto KeeperAdvice::Decode(const std::string& text) -> KeeperAdvice {
   try {
-    std::vector<KeeperAdvice> advice;
-    for (const auto& one : nlohmann::json::from_cbor(text)) {
-      KeeperAdvice decoded;
-      decoded.service = one.at(0).get<ServiceName>();
-      decoded.version = one.at(1).get<StoreVersion>();
-      advice.push_back(std::move(decoded));
+    const auto json = nlohmann::json::from_cbor(text);
+    KeeperAdvice advice;
+    advice.hosts = json.at(0).get<int>();
+    if (advice.hosts < 1) throw InputError("keeper's advice: no host");
+    for (const auto& one : json.at(1)) {
+      advice.versions.emplace(one.at(0).get<ServiceName>(),
+                              one.at(1).get<StoreVersion>());
     }
     return advice;
   } catch (const nlohmann::json::exception& error) {
--- a/src/keys/keeper_advice.h
+++ b/src/keys/keeper_advice.h
@@ -1,21 +1,22 @@
 #pragma once
 
+#include <map>
 #include <string>
-#include <vector>
 
 #include "core/core.h"
 #include "store/store_client.h"
 
 namespace currantbeam {
 
-/// What the keeper tells a gateway about a service in answer to its report.
+/// What the keeper tells a gateway in answer to its report.
 struct KeeperAdvice {
-  ServiceName service;
-  StoreVersion version = 0;  ///< Of the owners that the keeper works on.
-};
+  int hosts = 0;  ///< That report to the keeper, itself included.
+  /// Of the owners that the keeper works on.
+  std::map<ServiceName, StoreVersion> versions;
 
-auto EncodeAdvice(const std::vector<KeeperAdvice>& advice) -> std::string;
-/// @throws InputError if the text is no advice.
-auto DecodeAdvice(const std::string& text) -> std::vector<KeeperAdvice>;
+  [[nodiscard]] auto Encode() const -> std::string;
+  /// @throws InputError if the text is no advice.
+  static auto Decode(const std::string& text) -> KeeperAdvice;
+};
 
 }  // namespace currantbeam
--- a/src/keys/key_keeper.cc
+++ b/src/keys/key_keeper.cc
@@ -120,12 +120,12 @@
   if (update) this->on_change(*update);
 }
 
-auto KeyKeeper::Advice() -> std::vector<KeeperAdvice> {
-  std::vector<KeeperAdvice> advice;
+auto KeyKeeper::Versions() -> std::map<ServiceName, StoreVersion> {
+  std::map<ServiceName, StoreVersion> versions;
   for (auto& [name, service] : this->services) {
-    advice.push_back({name, service.kept.Keeper().Version()});
+    versions.emplace(name, service.kept.Keeper().Version());
   }
-  return advice;
+  return versions;
 }
 
 auto KeyKeeper::ServersOf(const ServiceName& name) const
--- a/src/keys/key_keeper.h
+++ b/src/keys/key_keeper.h
@@ -36,8 +36,8 @@
   auto Start() -> void;
   /// Gives the duty to another host; for good.
   auto Stop() -> void;
-  /// @return what a gateway is told when it reports.
-  [[nodiscard]] auto Advice() -> std::vector<KeeperAdvice>;
+  /// @return the versions of the owners that are worked on, by service.
+  [[nodiscard]] auto Versions() -> std::map<ServiceName, StoreVersion>;
   auto OnReport(const LoadReport& report) -> void;
   /// @return where reports go; empty if that is not known.
   [[nodiscard]] auto ReportEndpoint() const -> std::string {
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -6,6 +6,7 @@
 
 #include "policy/class_controller.h"
 #include "policy/concurrency_limit.h"
+#include "policy/fleet_size.h"
 #include "policy/hot_key_sketch.h"
 #include "policy/idempotency_memory.h"
 #include "policy/retry_budget.h"
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -1,5 +1,7 @@
 #include "router/peer_exchange.h"
 
+#include <algorithm>
+
 #include "core/events.h"
 
 namespace currantbeam {
@@ -46,11 +48,12 @@
 
 PeerExchange::PeerExchange(const RouterSettings& settings, const Clock& clock,
                            LoadRecorder& loads, OwnerDirectory& owners,
-                           StoreClient& store)
+                           FleetSize& fleet, StoreClient& store)
     : settings(settings),
       clock(clock),
       loads(loads),
       owners(owners),
+      fleet(fleet),
       store(store),
       server(ServerOptions(settings.peers), *this) {}
 
@@ -68,7 +71,7 @@
         this->settings.host, ToText(this->settings.peers), this->clock.Now());
     if (this->keeper->IsActive()) {
       this->keeper->OnReport(report);
-      this->ApplyAdvice(this->keeper->Advice());
+      this->ApplyAdvice(this->MakeAdvice());
       this->contact_at = this->clock.Now();
     } else {
       const bool is_taken = this->SendReport(report);
@@ -86,7 +89,7 @@
   try {
     const auto response = Post(endpoint, kReportPath, report.Encode());
     if (response.result() != http::status::ok) return false;
-    this->ApplyAdvice(DecodeAdvice(response.body()));
+    this->ApplyAdvice(KeeperAdvice::Decode(response.body()));
     return true;
   } catch (const RequestError& error) {
     Log(events::kReportLost,
@@ -97,13 +100,24 @@
   return false;
 }
 
-auto PeerExchange::ApplyAdvice(const std::vector<KeeperAdvice>& advice)
-    -> void {
-  for (const auto& one : advice) {
-    this->owners.OnKeeperVersion(one.service, one.version);
+auto PeerExchange::MakeAdvice() -> KeeperAdvice {
+  const auto others = std::count_if(
+      this->peers.begin(), this->peers.end(),
+      [this](const auto& peer) { return this->IsPresent(peer.second); });
+  return {static_cast<int>(others) + 1, this->keeper->Versions()};
+}
+
+auto PeerExchange::ApplyAdvice(const KeeperAdvice& advice) -> void {
+  this->fleet.OnTold(advice.hosts, this->clock.Now());
+  for (const auto& [service, version] : advice.versions) {
+    this->owners.OnKeeperVersion(service, version);
   }
 }
 
+auto PeerExchange::IsPresent(const Peer& peer) const -> bool {
+  return this->clock.Now() - peer.heard_at <= kPeerMemory;
+}
+
 auto PeerExchange::RunReads() -> void {
   while (true) {
     if (this->owners.TakeRead()) this->ReadOwners();
@@ -126,7 +140,7 @@
   this->owners.OnUpdate(update);
   const auto body = update.Encode();
   for (const auto& [host, peer] : this->peers) {
-    if (this->clock.Now() - peer.heard_at > kPeerMemory) continue;
+    if (!this->IsPresent(peer)) continue;
     FiberLoop::Current().Spawn([this, endpoint = peer.endpoint, body] {
       this->SendUpdate(endpoint, body);
     });
@@ -172,7 +186,7 @@
   this->peers[report.host] = {FromText(report.endpoint), this->clock.Now()};
   this->keeper->OnReport(report);
   HttpResponse response{http::status::ok, 11};
-  response.body() = EncodeAdvice(this->keeper->Advice());
+  response.body() = this->MakeAdvice().Encode();
   exchange.Send(std::move(response));
 }
 
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -16,7 +16,8 @@
 class PeerExchange : public HttpHandler {
  public:
   PeerExchange(const RouterSettings& settings, const Clock& clock,
-               LoadRecorder& loads, OwnerDirectory& owners, StoreClient& store);
+               LoadRecorder& loads, OwnerDirectory& owners, FleetSize& fleet,
+               StoreClient& store);
 
   /// Starts listening and reporting on the calling loop.
   auto Start(FiberLoop& loop, KeyKeeper& keeper) -> void;
@@ -35,8 +36,11 @@
   auto RunReports() -> void;
   auto RunReads() -> void;
   auto SendReport(const LoadReport& report) -> bool;
-  auto ApplyAdvice(const std::vector<KeeperAdvice>& advice) -> void;
+  /// @return what this host tells others while it keeps the keys.
+  auto MakeAdvice() -> KeeperAdvice;
+  auto ApplyAdvice(const KeeperAdvice& advice) -> void;
   auto TakeReport(HttpExchange& exchange) -> void;
+  [[nodiscard]] auto IsPresent(const Peer& peer) const -> bool;
   auto SendUpdate(const Endpoint& endpoint, const std::string& body) -> void;
   auto ReadOwners() -> void;
 
@@ -44,6 +48,7 @@
   const Clock& clock;
   LoadRecorder& loads;
   OwnerDirectory& owners;
+  FleetSize& fleet;
   StoreClient& store;
   KeyKeeper* keeper = nullptr;
   HttpServer server;
--- a/src/router/request_forwarder.cc
+++ b/src/router/request_forwarder.cc
@@ -6,9 +6,12 @@
 namespace currantbeam {
 
 auto ForwardingState::BudgetOf(const ServiceName& service) -> RetryBudget& {
-  return this->budgets
-      .try_emplace(service, this->retry_share, this->retry_burst)
-      .first->second;
+  return this->budgets.try_emplace(service, this->retry_limits).first->second;
+}
+
+auto ForwardingState::SetRetryLimits(const RetryLimits& limits) -> void {
+  this->retry_limits = limits;
+  for (auto& [service, budget] : this->budgets) budget.SetLimits(limits);
 }
 
 auto RequestForwarder::Handle(HttpExchange& exchange) -> void {
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -22,14 +22,13 @@
   OwnerDirectory& owners;
   LoadRecorder& loads;
   BackendChooser chooser;
-  /// Retries for each request of a service, and how many may be saved up.
-  double retry_share = 0.1;
-  double retry_burst = 4;
+  RetryLimits retry_limits;  ///< Of this host, for each service.
   std::shared_ptr<const RouteTable> routes;
   TargetSequence sequence;
   std::unordered_map<ServiceName, RetryBudget> budgets;
 
   auto BudgetOf(const ServiceName& service) -> RetryBudget&;
+  auto SetRetryLimits(const RetryLimits& limits) -> void;
 };
 
 /// Takes callers' requests and sends each straight to the backend server that
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -7,11 +7,6 @@
 namespace currantbeam {
 namespace {
 
-/// Hosts among which the fleet's retries are divided.
-constexpr double kHostsAssumed = 12;
-/// Part of the fleet's retries that is given out, as hosts do not count
-/// together.
-constexpr double kRetryPart = 0.8;
 constexpr auto kSweepInterval = std::chrono::milliseconds(200);
 constexpr int kSweepsPerSettingsPoll = 5;
 constexpr auto kBackendBatching = std::chrono::milliseconds(800);
@@ -51,7 +46,7 @@
       peers(std::move(peers)),
       directory(this->clock),
       owners(this->clock),
-      exchange(settings, this->clock, this->loads, this->owners,
+      exchange(settings, this->clock, this->loads, this->owners, this->fleet,
                this->peers.store),
       state{this->clock,
             this->peers.headers,
@@ -59,8 +54,7 @@
             this->owners,
             this->loads,
             BackendChooser(this->clock, settings.domain),
-            settings.retry_share * kRetryPart,
-            settings.retry_extra * kRetryPart / kHostsAssumed,
+            {},
             nullptr,
             {},
             {}},
@@ -81,6 +75,7 @@
       reload_signal(this->loop, [this] { this->PollSettings(); }) {}
 
 auto RouterProcess::Run() -> void {
+  this->ShareRetries();
   this->callers.Listen(this->loop);
   this->readiness.Listen(this->loop);
   this->exchange.Start(this->loop, this->keeper);
@@ -129,17 +124,23 @@
   for (int sweep = 0;; ++sweep) {
     SleepFor(kSweepInterval);
     this->directory.DropLapsed();
+    this->ShareRetries();
     if (sweep % kSweepsPerSettingsPoll == 0) this->PollSettings();
   }
 }
 
+auto RouterProcess::ShareRetries() -> void {
+  const int hosts = this->fleet.Hosts(this->clock.Now());
+  this->state.SetRetryLimits(this->settings.retries.PerHost(hosts));
+}
+
 auto RouterProcess::PollSettings() -> void {
   try {
     const auto changed = this->peers.settings.Poll();
     if (!changed) return;
     this->settings.stop_grace = changed->stop_grace;
-    this->state.retry_share = changed->retry_share * kRetryPart;
-    this->state.retry_burst = changed->retry_extra * kRetryPart / kHostsAssumed;
+    this->settings.retries = changed->retries;
+    this->ShareRetries();
     Log(events::kSettingsReloaded,
         "stop_grace_ms=" + std::to_string(changed->stop_grace.count()));
   } catch (const InputError& error) {
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -50,6 +50,8 @@
   /// Does what is due now and then: settings that changed, lapsed entries.
   auto Sweep() -> void;
   auto PollSettings() -> void;
+  /// Takes this host's part of the retries that all hosts may make.
+  auto ShareRetries() -> void;
   auto Drain() -> void;
   [[nodiscard]] auto IsReady() const -> bool;
 
@@ -60,6 +62,7 @@
   BackendDirectory directory;
   OwnerDirectory owners;
   LoadRecorder loads;
+  FleetSize fleet;
   PeerExchange exchange;
   ForwardingState state;
   RequestForwarder forwarder;
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -7,6 +7,7 @@
 
 #include "core/core.h"
 #include "keys/keys.h"
+#include "policy/policy.h"
 
 namespace currantbeam {
 
@@ -26,10 +27,7 @@
   Endpoint peers;  ///< Where other hosts reach this one.
   /// From the signal to stop until the process is killed.
   std::chrono::milliseconds stop_grace{6000};
-  /// Retries that all hosts together may make, for each request.
-  double retry_share = 0.2;
-  /// Retries that all hosts together may make beyond the share.
-  double retry_extra = 50;
+  RetryLimits retries;  ///< Of all hosts together.
   GrantTiming grants;
   std::string log_level = "info";
 };
--- a/tests/policy/policy_test.cc
+++ b/tests/policy/policy_test.cc
@@ -147,7 +147,7 @@
 }
 
 TEST(RetryBudget, AllowsATenthOfTheRequests) {
-  RetryBudget budget(0.1, 5);
+  RetryBudget budget({0.1, 5});
   int retries = 0;
   for (int i = 0; i < 10'000; ++i) {
     budget.OnRequest();
@@ -156,6 +156,50 @@
   EXPECT_LE(retries, 1005);
 }
 
+TEST(RetryBudget, HostsTogetherKeepToTheLimitsOfTheFleet) {
+  const RetryLimits fleet{0.2, 170};
+  for (const int hosts : {1, 9, 65, 83, 300}) {
+    std::vector<RetryBudget> budgets(hosts, RetryBudget(fleet.PerHost(hosts)));
+    int retries = 0;
+    const int requests = 20'000;
+    for (int i = 0; i < requests; ++i) {
+      auto& budget = budgets[i % hosts];
+      budget.OnRequest();
+      while (budget.TryRetry()) ++retries;
+    }
+    EXPECT_LE(retries, requests * fleet.share + fleet.burst) << hosts;
+    EXPECT_GE(retries, requests * fleet.share / 2) << hosts;
+  }
+}
+
+TEST(RetryBudget, TakesChangedLimits) {
+  RetryBudget budget({0, 50});
+  budget.SetLimits({0, 3});
+  int retries = 0;
+  while (budget.TryRetry()) ++retries;
+  EXPECT_EQ(retries, 3);
+}
+
+TEST(FleetSize, GrowsAtOnceAndShrinksLate) {
+  ManualClock clock;
+  FleetSize fleet;
+  EXPECT_EQ(fleet.Hosts(clock.Now()), 100) << "nothing is known";
+  fleet.OnTold(9, clock.Now());
+  EXPECT_EQ(fleet.Hosts(clock.Now()), 9);
+  fleet.OnTold(12, clock.Now());
+  EXPECT_EQ(fleet.Hosts(clock.Now()), 12);
+  for (int second = 0; second < 20; ++second) {
+    clock.Advance(std::chrono::seconds(1));
+    fleet.OnTold(6, clock.Now());
+    EXPECT_EQ(fleet.Hosts(clock.Now()), 12) << second;
+  }
+  clock.Advance(std::chrono::seconds(1));
+  fleet.OnTold(6, clock.Now());
+  EXPECT_EQ(fleet.Hosts(clock.Now()), 6);
+  clock.Advance(std::chrono::minutes(5));
+  EXPECT_EQ(fleet.Hosts(clock.Now()), 6) << "the last number stays";
+}
+
 TEST(ConcurrencyLimit, RampsUpAndYieldsToShedding) {
   ManualClock clock;
   ConcurrencyLimit limit(6, clock.Now());
