Keep the duty of granting keys on hosts that can carry it

Ruled out: the store (stable again for 3 s), links, the server.

Change: a host with less than 0.2 of a core leaves a free lease to others for 0.5 s. While the loop runs late, a request's connection is looked at before each send. A retry budget that may save up more counts the difference as saved, so that a process that started before it knew the number of hosts gets its part.

Tests: the lease is left to others and taken in the end; a request of a client that left is not sent while the loop is late (both fail without the change). Two tests of forwarding now earn their retries first, as a process has none before its first report; without that they pass or fail by the time of that report.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -26,6 +26,14 @@
 constexpr auto kDrainPoll = std::chrono::milliseconds(5);
 constexpr auto kAcceptRetry = std::chrono::milliseconds(20);
 
+/// @return whether the other end has closed the connection, or reset it.
+auto IsClosed(int socket) -> bool {
+  char byte = 0;
+  const auto got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool is_quiet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return got <= 0 && !is_quiet;
+}
+
 }  // namespace
 
 /// The server's end of one connection, serving one request after another.
@@ -132,12 +140,9 @@
   }
 
   [[nodiscard]] auto IsClientGone() const -> bool override {
-    if (this->broken) return true;
-    char byte = 0;
-    const auto fd =
-        const_cast<TcpStream&>(this->stream).socket().native_handle();
-    const auto received = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0;
+    return this->broken ||
+           IsClosed(
+               const_cast<TcpStream&>(this->stream).socket().native_handle());
   }
 
   auto WatchClient(std::function<void()> on_gone) -> void override {
@@ -150,12 +155,7 @@
         [watch = this->watch, fd = this->stream.socket().native_handle()](
             const boost::system::error_code& error) {
           watch->pending = false;
-          if (!watch->on_gone || error) return;
-          char byte = 0;
-          const auto got = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-          const bool is_open =
-              got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-          if (is_open) return;
+          if (!watch->on_gone || error || !IsClosed(fd)) return;
           const auto callback = std::exchange(watch->on_gone, nullptr);
           callback();
         });
--- a/src/keys/keeper_lease.cc
+++ b/src/keys/keeper_lease.cc
@@ -39,12 +39,20 @@
   }
   const bool is_free = !this->claim || this->claim->until <= batch.store_time ||
                        this->claim->holder == this->options.holder;
+  if (is_free && !this->HasYielded()) return this->options.yield;
   if (is_free) return this->Renew();
+  this->free_since.reset();
   const auto seed = std::hash<std::string>()(this->options.holder);
   const auto spread = Duration(seed % Duration(kSpread).count());
   return this->claim->until - batch.store_time + kAfterEnd + spread;
 }
 
+auto KeeperLease::HasYielded() -> bool {
+  const auto now = this->clock.Now();
+  if (!this->free_since) this->free_since = now;
+  return now - *this->free_since >= this->options.yield;
+}
+
 auto KeeperLease::Renew() -> Duration {
   const auto asked = this->clock.Now();
   const auto until = this->StoreTimeAtLeast(asked) + this->options.length;
@@ -53,6 +61,7 @@
   write.puts.push_back({kLeaseRow, this->Encode(until), 0, false});
   const auto result = this->store.Write(write);
   if (result.outcome == WriteOutcome::kWritten) {
+    this->free_since.reset();
     this->version = result.version;
     this->claim = Claim{this->options.holder, this->options.endpoint, until};
     this->Claimed(asked, result.store_time);
--- a/src/keys/keeper_lease.h
+++ b/src/keys/keeper_lease.h
@@ -18,6 +18,8 @@
     Duration length = std::chrono::seconds(4);
     /// Part of the lease in which the holder no longer relies on it.
     Duration margin = std::chrono::milliseconds(300);
+    /// How long a free lease is left to others first.
+    Duration yield{0};
   };
 
   /// @param clock  counts time in which the process is suspended, too.
@@ -51,6 +53,8 @@
   };
 
   auto Look() -> Duration;
+  /// @return whether others have had their time to take the free lease.
+  auto HasYielded() -> bool;
   auto Renew() -> Duration;
   auto Claimed(TimePoint asked, Duration store_time) -> void;
   [[nodiscard]] auto StoreTimeAtLeast(TimePoint at) const -> Duration;
@@ -67,6 +71,7 @@
   TimePoint store_time_known_at{};
   Duration store_time{0};
   TimePoint held_until{};
+  std::optional<TimePoint> free_since;  ///< When it was first seen free.
   std::uint64_t writes = 0;
   int term = 0;
 };
--- a/src/policy/retry_budget.cc
+++ b/src/policy/retry_budget.cc
@@ -17,6 +17,7 @@
 }
 
 auto RetryBudget::SetLimits(const RetryLimits& limits) -> void {
+  this->tokens += std::max(limits.burst - this->limits.burst, 0.0);
   this->limits = limits;
   this->Trim();
 }
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -19,7 +19,8 @@
   explicit RetryBudget(const RetryLimits& limits = RetryLimits())
       : limits(limits), tokens(limits.burst) {}
 
-  /// Retries that were saved up beyond the new limits are forfeit.
+  /// Retries that were saved up beyond the new limits are forfeit; what may be
+  /// saved up in addition counts as saved.
   auto SetLimits(const RetryLimits& limits) -> void;
   auto OnRequest() -> void;
   /// @return true if a retry may be made now; it is then counted.
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -111,6 +111,13 @@
   this->state.BudgetOf(this->service).OnRequest();
   this->RecordKey();
   while (true) {
+    // The watch reports it only once the loop comes to wait.
+    this->is_client_gone |=
+        this->state.is_late && this->exchange.IsClientGone();
+    if (this->is_client_gone) {
+      this->exchange.Abort();
+      return;
+    }
     const auto target = this->ChooseTarget();
     if (target == nullptr) return;
     const auto attempt = this->TryAt(target);
@@ -131,10 +138,6 @@
         break;
     }
     this->may_have_run |= attempt == Attempt::kMayHaveRun;
-    if (this->is_client_gone) {
-      this->exchange.Abort();
-      return;
-    }
     if (this->MayRetry(attempt)) {
       Log(events::kRetried, "request=" + std::string(this->RequestId()) +
                                 " after=" + target->entry.id.Value());
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -23,6 +23,8 @@
   LoadRecorder& loads;
   BackendChooser chooser;
   RetryLimits retry_limits;  ///< Of this host, for each service.
+  /// The loop runs late, so that what is ready to be read may be old.
+  bool is_late = false;
   std::shared_ptr<const RouteTable> routes;
   TargetSequence sequence;
   std::unordered_map<ServiceName, RetryBudget> budgets;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -7,7 +7,13 @@
 namespace currantbeam {
 namespace {
 
+/// Hosts with a smaller part of a core leave the keeping of keys to others,
+/// if there are any, for this long.
+constexpr double kAmpleProcessor = 0.2;
+constexpr auto kWeakHostYield = std::chrono::milliseconds(500);
 constexpr auto kSweepInterval = std::chrono::milliseconds(200);
+/// A timer that is this late shows that the loop has more to do than it can.
+constexpr auto kLateLoop = std::chrono::milliseconds(50);
 constexpr int kSweepsPerSettingsPoll = 5;
 constexpr auto kBackendBatching = std::chrono::milliseconds(800);
 /// Of the time until the process is killed: when the last connections are
@@ -29,6 +35,9 @@
       std::to_string(BootClock().Now().time_since_epoch().count());
   options.lease.endpoint =
       settings.peers.address + ":" + std::to_string(settings.peers.port);
+  if (settings.processor_share < kAmpleProcessor) {
+    options.lease.yield = kWeakHostYield;
+  }
   options.grants = settings.grants;
   return options;
 }
@@ -55,6 +64,7 @@
             this->loads,
             BackendChooser(this->clock, settings.domain),
             {},
+            false,
             nullptr,
             {},
             {}},
@@ -122,7 +132,10 @@
 
 auto RouterProcess::Sweep() -> void {
   for (int sweep = 0;; ++sweep) {
+    const auto began = this->clock.Now();
     SleepFor(kSweepInterval);
+    const auto late = this->clock.Now() - began - kSweepInterval;
+    this->state.is_late = late > kLateLoop;
     this->directory.DropLapsed();
     this->ShareRetries();
     if (sweep % kSweepsPerSettingsPoll == 0) this->PollSettings();
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -27,7 +27,8 @@
   Endpoint peers;  ///< Where other hosts reach this one.
   /// From the signal to stop until the process is killed.
   std::chrono::milliseconds stop_grace{6000};
-  RetryLimits retries;  ///< Of all hosts together.
+  RetryLimits retries;         ///< Of all hosts together.
+  double processor_share = 1;  ///< Of one core, that this host has.
   GrantTiming grants;
   std::string log_level = "info";
 };
--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -284,6 +284,26 @@
   EXPECT_TRUE(this->b.IsHeld());
 }
 
+TEST_F(KeeperLeaseTest, IsLeftToOthersByAHostThatYields) {
+  const auto yield = std::chrono::milliseconds(500);
+  KeeperLease::Options options{"weak", "3:3"};
+  options.yield = yield;
+  KeeperLease weak(this->store, this->clock, options);
+  EXPECT_EQ(weak.Step(), yield);
+  this->clock.Advance(std::chrono::milliseconds(100));
+  this->a.Step();
+  this->clock.Advance(yield);
+  const auto wait = weak.Step();
+  EXPECT_TRUE(this->a.IsHeld());
+  EXPECT_FALSE(weak.IsHeld());
+  // Alone, it takes the lease in the end.
+  this->clock.Advance(wait);
+  this->clock.Advance(weak.Step());
+  EXPECT_FALSE(this->a.IsHeld());
+  weak.Step();
+  EXPECT_TRUE(weak.IsHeld());
+}
+
 TEST_F(KeeperLeaseTest, EndsWhileTheStoreIsDown) {
   this->a.Step();
   this->store.SetDown(true);
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -23,6 +23,14 @@
     return this->fleet.Backend(number).Runs().size() == before;
   }
 
+  /// Sends what earns a few retries: a process that has just started has none
+  /// before it knows among how many hosts they are divided.
+  auto EarnRetries() -> void {
+    for (int i = 0; i < 30; ++i) {
+      this->fleet.Send("/safe/a", "earn-" + std::to_string(i));
+    }
+  }
+
   WireFleet fleet{27300};
   int probes = 0;
 };
@@ -77,6 +85,7 @@
 
 TEST_F(Forwarding, RepeatsIdempotentRequestsWhoseAnswerIsLost) {
   this->fleet.Run([&] {
+    this->EarnRetries();
     for (int i = 0; i < 2; ++i) {
       this->fleet.Backend(i).behaviour.lose_answers = 1;
     }
@@ -89,6 +98,7 @@
 
 TEST_F(Forwarding, RepeatsIdempotentRequestsWhoseAnswerBreaksOff) {
   this->fleet.Run([&] {
+    this->EarnRetries();
     this->fleet.Backend(0).behaviour.cut_answers = 1;
     for (int i = 0; i < 8; ++i) {
       const auto id = "id-" + std::to_string(i);
--- a/tests/policy/policy_test.cc
+++ b/tests/policy/policy_test.cc
@@ -178,6 +178,9 @@
   int retries = 0;
   while (budget.TryRetry()) ++retries;
   EXPECT_EQ(retries, 3);
+  budget.SetLimits({0, 5});
+  while (budget.TryRetry()) ++retries;
+  EXPECT_EQ(retries, 5);
 }
 
 TEST(FleetSize, GrowsAtOnceAndShrinksLate) {
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -6,6 +6,7 @@
 
 #include "backends/backends.h"
 #include "router/backend_chooser.h"
+#include "router/forwarded_request.h"
 #include "router/owner_directory.h"
 #include "router/route_table.h"
 
@@ -83,6 +84,54 @@
   EXPECT_NE(directory.Find(ServerId("a")), first);
 }
 
+/// A request whose client has closed its connection, which nothing but a look
+/// at the connection shows yet.
+class AbandonedExchange : public HttpExchange {
+ public:
+  AbandonedExchange() {
+    this->request.set(http::field::host, "h");
+    this->request.target("/s/x");
+  }
+  [[nodiscard]] auto Request() const -> const HttpRequest& override {
+    return this->request;
+  }
+  auto Send(HttpResponse /*response*/) -> void override {
+    this->is_answered = true;
+  }
+  auto StartBody(const http::response_header<>& /*head*/,
+                 std::optional<std::uint64_t> /*length*/) -> void override {}
+  auto SendBody(std::string_view /*data*/) -> void override {}
+  auto FinishBody() -> void override {}
+  auto Abort() -> void override { this->is_aborted = true; }
+  [[nodiscard]] auto HasStarted() const -> bool override { return false; }
+  [[nodiscard]] auto IsClientGone() const -> bool override { return true; }
+  auto WatchClient(std::function<void()> /*on_gone*/) -> void override {}
+
+  HttpRequest request;
+  bool is_aborted = false;
+  bool is_answered = false;
+};
+
+TEST(ForwardedRequest, IsNotSentForAClientThatLeftWhileTheLoopWasLate) {
+  ManualClock clock;
+  BackendDirectory directory(clock);
+  directory.Apply(MakeEntry("a", 1));
+  OwnerDirectory owners(clock);
+  LoadRecorder loads;
+  RouteConfig config;
+  config.hosts["h"] = {MakeRoute("s", "/s/")};
+  ForwardingState state{
+      clock,  {},    directory,
+      owners, loads, BackendChooser(clock, FailureDomain("x")),
+      {},     true,  std::make_shared<const RouteTable>(config),
+      {},     {}};
+  AbandonedExchange exchange;
+  ForwardedRequest(state, exchange).Run();
+  EXPECT_TRUE(exchange.is_aborted);
+  EXPECT_FALSE(exchange.is_answered);
+  EXPECT_EQ(directory.Find(ServerId("a"))->load.InFlight(), 0);
+}
+
 TEST(BackendDirectory, GivesNoWorkToServersThatDrainOrHaveGone) {
   ManualClock clock;
   BackendDirectory directory(clock);
