Let the keeper read the store's tables for all hosts

Each host followed both tables itself and read the owners after each wrong answer of a server.

Ruled out: slower feeds; changes have to be in force within two seconds.

Change: a host's report names the versions up to which it knows the tables; the keeper's answer brings what changed since, or the whole table, with its age. A host asks the store itself once what it heard is over 1.4 s old, counted from when the keeper last heard from the store. A host that starts waits 0.3 s to be told. Owners that are not known are asked of the keeper first. A follower tells that the store is back before it tells what lapsed meanwhile: entries of servers that lapsed were dropped at once instead of being given their two seconds.

Tests: relayed_store_test (nothing asked of the store while the keeper is heard; the store asked in time when the keeper is silent or has lost the store; news that are cut refused; any history of writes, dropped history, outages and changes of keeper ends with what is stored, and no row goes back); the order after an outage fails first.

--- a/src/keys/keeper_advice.cc
+++ b/src/keys/keeper_advice.cc
@@ -3,13 +3,24 @@
 #include <nlohmann/json.hpp>
 
 namespace currantbeam {
+namespace {
+
+auto ToBinary(const std::string& text) -> nlohmann::json {
+  return nlohmann::json::binary({text.begin(), text.end()});
+}
+
+auto ToText(const nlohmann::json& json) -> std::string {
+  const auto& bytes = json.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+}  // namespace
 
 auto KeeperAdvice::Encode() const -> std::string {
-  auto versions = nlohmann::json::array();
-  for (const auto& [service, version] : this->versions) {
-    versions.push_back({service.Value(), version});
-  }
-  const auto bytes = nlohmann::json::to_cbor({this->hosts, versions});
+  auto news = nlohmann::json::array();
+  for (const auto& one : this->news) news.push_back(ToBinary(one.Encode()));
+  const auto bytes = nlohmann::json::to_cbor(
+      {this->hosts, ToBinary(EncodeVersions(this->versions)), std::move(news)});
   return {bytes.begin(), bytes.end()};
 }
 
@@ -19,9 +30,9 @@
     KeeperAdvice advice;
     advice.hosts = json.at(0).get<int>();
     if (advice.hosts < 1) throw InputError("keeper's advice: no host");
-    for (const auto& one : json.at(1)) {
-      advice.versions.emplace(one.at(0).get<ServiceName>(),
-                              one.at(1).get<StoreVersion>());
+    advice.versions = DecodeVersions(ToText(json.at(1)));
+    for (const auto& one : json.at(2)) {
+      advice.news.push_back(TableNews::Decode(ToText(one)));
     }
     return advice;
   } catch (const nlohmann::json::exception& error) {
--- a/src/keys/keeper_advice.h
+++ b/src/keys/keeper_advice.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <map>
 #include <string>
+#include <vector>
 
-#include "core/core.h"
-#include "store/store_client.h"
+#include "keys/owner_versions.h"
+#include "store/table_news.h"
 
 namespace currantbeam {
 
@@ -12,7 +12,9 @@
 struct KeeperAdvice {
   int hosts = 0;  ///< That report to the keeper, itself included.
   /// Of the owners that the keeper works on.
-  std::map<ServiceName, StoreVersion> versions;
+  OwnerVersions versions;
+  /// What is new in the tables that the gateway follows.
+  std::vector<TableNews> news;
 
   [[nodiscard]] auto Encode() const -> std::string;
   /// @throws InputError if the text is no advice.
--- a/src/keys/kept_service.cc
+++ b/src/keys/kept_service.cc
@@ -54,13 +54,13 @@
   try {
     const auto batch = this->store.Read(kOwnersTable, "");
     OwnerMap map(this->stripe_count);
-    StoreVersion version = 0;
+    this->stored = StoreRow{RowOf(this->name), "", 0, false};
     for (const auto& row : batch.rows) {
       if (row.name.key != this->name.Value()) continue;
       map = OwnerMap::Decode(row.value);
-      version = row.version;
+      this->stored = row;
     }
-    this->keeper.Load(std::move(map), version);
+    this->keeper.Load(std::move(map), this->stored.version);
     this->loaded_term = term;
     return true;
   } catch (const Error& error) {
@@ -94,6 +94,8 @@
     update.changes =
         OwnerUpdate::Between(this->keeper.Map(), this->keeper.PlannedMap());
     this->keeper.OnCommitted(result.version);
+    this->stored = std::move(write.puts.front());
+    this->stored.version = result.version;
     Log(events::kOwnersCommitted,
         "service=" + this->name.Value() + " version=" +
             std::to_string(result.version) + " moves=" + std::to_string(moves) +
--- a/src/keys/kept_service.h
+++ b/src/keys/kept_service.h
@@ -34,6 +34,9 @@
   /// Takes in what a gateway saw.
   auto OnLoad(const ServiceLoad& load) -> void { this->view.Add(load); }
   [[nodiscard]] auto Keeper() -> ServiceKeeper& { return this->keeper; }
+  /// @return the owners as they are in the store, as far as known; of version
+  ///   0 if there are none.
+  [[nodiscard]] auto Stored() const -> const StoreRow& { return this->stored; }
 
  private:
   auto Load() -> bool;
@@ -45,6 +48,7 @@
   const Clock& clock;
   const KeeperLease& lease;
   ServiceKeeper keeper;
+  StoreRow stored;
   LoadView view;
   int stripe_count;
   int loaded_term = 0;  ///< The lease's term in which the map was loaded.
--- a/src/keys/key_keeper.cc
+++ b/src/keys/key_keeper.cc
@@ -127,14 +127,26 @@
   }
 }
 
-auto KeyKeeper::Versions() -> std::map<ServiceName, StoreVersion> {
-  std::map<ServiceName, StoreVersion> versions;
+auto KeyKeeper::Versions() -> OwnerVersions {
+  OwnerVersions versions;
   for (auto& [name, service] : this->services) {
     versions.emplace(name, service.kept.Keeper().Version());
   }
   return versions;
 }
 
+auto KeyKeeper::OwnersSince(const OwnerVersions& known) const -> TableNews {
+  TableNews news;
+  news.table = kOwnersTable;
+  for (const auto& [name, service] : this->services) {
+    const auto& stored = service.kept.Stored();
+    const auto it = known.find(name);
+    const auto version = it == known.end() ? 0 : it->second;
+    if (stored.version > version) news.rows.push_back(stored);
+  }
+  return news;
+}
+
 auto KeyKeeper::ServersOf(const ServiceName& name) const
     -> std::vector<PlannedServer> {
   std::vector<PlannedServer> servers;
--- a/src/keys/key_keeper.h
+++ b/src/keys/key_keeper.h
@@ -37,7 +37,10 @@
   /// Gives the duty to another host; for good.
   auto Stop() -> void;
   /// @return the versions of the owners that are worked on, by service.
-  [[nodiscard]] auto Versions() -> std::map<ServiceName, StoreVersion>;
+  [[nodiscard]] auto Versions() -> OwnerVersions;
+  /// @param known  the versions that a host knows, by service.
+  /// @return the owners of which it knows older versions, as stored.
+  [[nodiscard]] auto OwnersSince(const OwnerVersions& known) const -> TableNews;
   auto OnReport(const LoadReport& report) -> void;
   /// @return where reports go; empty if that is not known.
   [[nodiscard]] auto ReportEndpoint() const -> std::string {
--- a/src/keys/keys.h
+++ b/src/keys/keys.h
@@ -14,5 +14,6 @@
 #include "keys/load_view.h"
 #include "keys/owner_map.h"
 #include "keys/owner_update.h"
+#include "keys/owner_versions.h"
 #include "keys/service_keeper.h"
 #include "keys/stripe_planner.h"
--- a/src/keys/load_report.cc
+++ b/src/keys/load_report.cc
@@ -65,7 +65,8 @@
   const auto bytes = nlohmann::json::to_cbor({{"h", this->host.Value()},
                                               {"e", this->endpoint},
                                               {"i", this->interval.count()},
-                                              {"s", services}});
+                                              {"s", services},
+                                              {"t", this->tables}});
   return {bytes.begin(), bytes.end()};
 }
 
@@ -79,6 +80,7 @@
     for (const auto& [name, load] : json.at("s").items()) {
       report.services[ServiceName(name)] = DecodeService(load);
     }
+    report.tables = json.at("t").get<std::map<std::string, StoreVersion>>();
     return report;
   } catch (const nlohmann::json::exception& error) {
     throw InputError(std::string("load report: ") + error.what());
--- a/src/keys/load_report.h
+++ b/src/keys/load_report.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "store/store_client.h"
 
 namespace currantbeam {
 
@@ -23,6 +24,9 @@
   std::string endpoint;  ///< Where the host takes the keeper's updates.
   Duration interval{0};  ///< That the report covers.
   std::map<ServiceName, ServiceLoad> services;
+  /// Up to which version the host knows the tables of the store that it
+  /// follows.
+  std::map<std::string, StoreVersion> tables;
 
   [[nodiscard]] auto Encode() const -> std::string;
   /// @throws InputError if the text is no report.
--- a/src/router/owner_directory.cc
+++ b/src/router/owner_directory.cc
@@ -24,6 +24,14 @@
   return it->second.map.StripeOfKey(key);
 }
 
+auto OwnerDirectory::Versions() const -> OwnerVersions {
+  OwnerVersions versions;
+  for (const auto& [service, known] : this->services) {
+    versions.emplace(service, known.version);
+  }
+  return versions;
+}
+
 auto OwnerDirectory::OnRow(const StoreRow& row) -> void {
   auto& known = this->services[ServiceName(row.name.key)];
   if (row.version <= known.version) return;
--- a/src/router/owner_directory.h
+++ b/src/router/owner_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -22,6 +23,9 @@
   [[nodiscard]] auto StripeOf(const ServiceName& service, int key) const
       -> std::optional<int>;
 
+  /// @return the versions that are known, by service.
+  [[nodiscard]] auto Versions() const -> OwnerVersions;
+
   /// Takes in a row of the store, unless it is older than what is known.
   auto OnRow(const StoreRow& row) -> void;
   /// Takes in an update of the keeper; asks for the store to be read if it
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -17,7 +17,7 @@
  public:
   PeerExchange(const RouterSettings& settings, const Clock& clock,
                LoadRecorder& loads, OwnerDirectory& owners, FleetSize& fleet,
-               StoreClient& store);
+               RelayedStore& store);
 
   /// Starts listening and reporting on the calling loop.
   auto Start(FiberLoop& loop, KeyKeeper& keeper) -> void;
@@ -34,22 +34,30 @@
   };
 
   auto RunReports() -> void;
+  /// Waits a little for the keeper to be known.
+  auto AwaitKeeper() -> void;
+  auto Report() -> void;
   auto RunReads() -> void;
   auto SendReport(const LoadReport& report) -> bool;
-  /// @return what this host tells others while it keeps the keys.
-  auto MakeAdvice() -> KeeperAdvice;
-  auto ApplyAdvice(const KeeperAdvice& advice) -> void;
+  /// @return what this host tells another while it keeps the keys.
+  auto MakeAdvice(const LoadReport& report) -> KeeperAdvice;
+  /// @param asked  when the report was sent that the advice answers.
+  auto ApplyAdvice(KeeperAdvice advice, TimePoint asked) -> void;
   auto TakeReport(HttpExchange& exchange) -> void;
+  auto TellOwners(HttpExchange& exchange) -> void;
   [[nodiscard]] auto IsPresent(const Peer& peer) const -> bool;
   auto SendUpdate(const Endpoint& endpoint, const std::string& body) -> void;
   auto ReadOwners() -> void;
+  /// @return whether the keeper told its owners.
+  auto ReadOwnersAtKeeper() -> bool;
+  auto TakeOwners(const std::vector<StoreRow>& rows) -> void;
 
   RouterSettings settings;
   const Clock& clock;
   LoadRecorder& loads;
   OwnerDirectory& owners;
   FleetSize& fleet;
-  StoreClient& store;
+  RelayedStore& store;
   KeyKeeper* keeper = nullptr;
   HttpServer server;
   std::map<HostId, Peer> peers;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -15,7 +15,7 @@
 /// A timer that is this late shows that the loop has more to do than it can.
 constexpr auto kLateLoop = std::chrono::milliseconds(50);
 constexpr int kSweepsPerSettingsPoll = 5;
-constexpr auto kBackendBatching = std::chrono::milliseconds(800);
+constexpr auto kBackendBatching = std::chrono::milliseconds(250);
 /// Of the time until the process is killed: when the last connections are
 /// closed, and when work that still runs is given up.
 constexpr double kCloseIdlePart = 0.5;
@@ -55,8 +55,11 @@
       peers(std::move(peers)),
       directory(this->clock),
       owners(this->clock),
+      store(this->peers.store, this->clock,
+            {this->peers.schema.RoutesTable(),
+             this->peers.schema.BackendsTable()}),
       exchange(settings, this->clock, this->loads, this->owners, this->fleet,
-               this->peers.store),
+               this->store),
       state{this->clock,
             this->peers.headers,
             this->directory,
@@ -110,7 +113,7 @@
   options.table = table;
   options.batching = batching;
   this->loop.Spawn([this, options, &listener] {
-    TableFollower follower(this->peers.store, options, listener);
+    TableFollower follower(this->store, options, listener);
     while (true) SleepFor(follower.Step());
   });
 }
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -63,6 +63,7 @@
   OwnerDirectory owners;
   LoadRecorder loads;
   FleetSize fleet;
+  RelayedStore store;
   PeerExchange exchange;
   ForwardingState state;
   RequestForwarder forwarder;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -5,5 +5,7 @@
 /// process, with conditional transactions and feeds of changes.
 
 #include "store/memory_store.h"
+#include "store/relayed_store.h"
 #include "store/store_client.h"
 #include "store/table_follower.h"
+#include "store/table_news.h"
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -13,7 +13,6 @@
     } else {
       this->ReadAll();
     }
-    this->NoteReachable(true);
     if (has_changed) this->listener.OnCurrent();
     this->retry = std::chrono::milliseconds(0);
     return has_changed ? this->options.batching : this->retry;
@@ -31,6 +30,7 @@
 auto TableFollower::ReadAll() -> void {
   const auto batch =
       this->store.Read(this->options.table, this->options.partition);
+  this->NoteReachable(true);
   std::set<std::string> present;
   for (const auto& row : batch.rows) {
     present.insert(row.name.key);
@@ -51,6 +51,7 @@
 auto TableFollower::ApplyChanges() -> bool {
   const auto batch = this->store.Follow(this->options.table, this->version,
                                         this->options.wait);
+  this->NoteReachable(true);
   bool has_changed = false;
   for (const auto& row : batch.rows) {
     if (row.name.partition != this->options.partition) continue;
--- /dev/null
+++ b/tests/store/relayed_store_test.cc
@@ -0,0 +1,221 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <map>
+
+#include "store/store.h"
+
+namespace currantbeam {
+namespace {
+
+using std::chrono::milliseconds;
+
+const char* const kTable = "t";
+
+/// Counts the calls that reach a store.
+class CountingStore : public StoreClient {
+ public:
+  explicit CountingStore(MemoryStore& store) : store(store) {}
+  auto Read(const std::string& table, const std::string& partition)
+      -> RowBatch override {
+    ++this->calls;
+    return this->store.Read(table, partition);
+  }
+  auto Follow(const std::string& table, StoreVersion after, milliseconds wait)
+      -> RowBatch override {
+    ++this->calls;
+    return this->store.Follow(table, after, wait);
+  }
+  auto Write(const StoreWrite& write) -> WriteResult override {
+    return this->store.Write(write);
+  }
+
+  int calls = 0;
+
+ private:
+  MemoryStore& store;
+};
+
+/// Lets the test's clock pass instead of waiting.
+class UnwaitingStore : public RelayedStore {
+ public:
+  UnwaitingStore(StoreClient& store, ManualClock& clock)
+      : RelayedStore(store, clock, {kTable}), clock(clock) {}
+
+ protected:
+  auto AwaitNews(const std::string& /*table*/, Duration longest)
+      -> void override {
+    this->clock.Advance(longest);
+  }
+
+ private:
+  ManualClock& clock;
+};
+
+/// Keeps what it is told; no row may ever go back.
+class Recorder : public TableListener {
+ public:
+  auto OnRow(const StoreRow& row) -> void override {
+    auto& last = this->versions[row.name.key];
+    this->has_gone_back |= row.version < last;
+    last = row.version;
+    this->rows[row.name.key] = row.value;
+  }
+  auto OnRemoved(const std::string& key) -> void override {
+    this->rows.erase(key);
+  }
+  auto OnCurrent() -> void override {}
+  auto OnReachable(bool /*reachable*/) -> void override {}
+
+  std::map<std::string, std::string> rows;
+  std::map<std::string, StoreVersion> versions;
+  bool has_gone_back = false;
+};
+
+/// One host that follows the table.
+struct Host {
+  Host(MemoryStore& memory, ManualClock& clock)
+      : direct(memory), store(direct, clock) {}
+
+  auto Step() -> void { this->follower.Step(); }
+  /// Reports to the leading host, as all hosts do every half second.
+  auto Hear(const Host& leader, const Clock& clock) -> void {
+    auto news = leader.store.NewsSince(this->store.Versions());
+    for (auto& one : news) one = TableNews::Decode(one.Encode());
+    this->store.OnNews(std::move(news), clock.Now());
+  }
+
+  CountingStore direct;
+  UnwaitingStore store;
+  Recorder recorder;
+  TableFollower follower{store, Options(), recorder};
+
+ private:
+  static auto Options() -> FollowOptions {
+    FollowOptions options;
+    options.table = kTable;
+    return options;
+  }
+};
+
+class RelayedStoreTest : public testing::Test {
+ protected:
+  RelayedStoreTest() { this->leader.store.SetLeading(true); }
+
+  ManualClock clock;
+  MemoryStore memory{this->clock};
+  Host leader{this->memory, this->clock};
+  Host other{this->memory, this->clock};
+};
+
+TEST_F(RelayedStoreTest, TellsATableWithoutTheOtherHostAskingTheStore) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->leader.Step();
+  this->other.Hear(this->leader, this->clock);
+  this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows, this->leader.recorder.rows);
+  this->memory.Put({kTable, "", "b"}, std::string("\0\xff", 2));
+  this->memory.Remove({kTable, "", "a"});
+  this->leader.Step();
+  this->other.Hear(this->leader, this->clock);
+  this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows, this->leader.recorder.rows);
+  EXPECT_EQ(this->other.direct.calls, 0);
+}
+
+TEST_F(RelayedStoreTest, AsksTheStoreOnceTheLeaderIsSilentForTooLong) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->leader.Step();
+  this->other.Hear(this->leader, this->clock);
+  this->other.Step();
+  this->memory.Put({kTable, "", "a"}, "2");
+  const auto silent_since = this->clock.Now();
+  this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows.at("a"), "2");
+  EXPECT_EQ(this->other.direct.calls, 1);
+  // A change has to be in force two seconds after it was made.
+  EXPECT_LT(this->clock.Now() - silent_since, milliseconds(1500));
+}
+
+TEST_F(RelayedStoreTest, AsksTheStoreWhereTheLeaderHasLostIt) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->leader.Step();
+  this->other.Hear(this->leader, this->clock);
+  this->other.Step();
+  const auto cut_at = this->clock.Now();
+  this->memory.Put({kTable, "", "a"}, "2");
+  // The leader answers reports, and hears nothing of the store.
+  for (int i = 0; i < 4 && this->other.direct.calls == 0; ++i) {
+    this->clock.Advance(milliseconds(500));
+    this->other.Hear(this->leader, this->clock);
+  }
+  this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows.at("a"), "2");
+  EXPECT_LE(this->clock.Now() - cut_at, milliseconds(2000));
+}
+
+TEST_F(RelayedStoreTest, StartsFromTheStoreIfNobodyLeads) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows.at("a"), "1");
+}
+
+TEST_F(RelayedStoreTest, RefusesWhatIsNoNews) {
+  EXPECT_THROW(TableNews::Decode(""), InputError);
+  EXPECT_THROW(TableNews::Decode("x"), InputError);
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->leader.Step();
+  const auto text = this->leader.store.NewsSince({{kTable, 0}})[0].Encode();
+  for (std::size_t length = 0; length < text.size(); ++length) {
+    EXPECT_THROW(TableNews::Decode(text.substr(0, length)), InputError);
+  }
+}
+
+TEST(RelayedStore, AgreesWithTheStoreAfterAnyHistory) {
+  rc::check("both hosts know what is stored, and nothing goes back", [] {
+    ManualClock clock;
+    MemoryStore memory(clock);
+    std::array<Host, 2> hosts = {Host(memory, clock), Host(memory, clock)};
+    int leading = 0;
+    hosts[leading].store.SetLeading(true);
+    std::map<std::string, std::string> expected;
+    int writes = 0;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::inRange(0, 4)));
+    for (const auto& [what, which] : steps) {
+      const auto key = std::to_string(which);
+      auto& other = hosts[1 - leading];
+      if (what <= 1) {
+        memory.Put({kTable, "", key}, std::to_string(++writes));
+        expected[key] = std::to_string(writes);
+      }
+      if (what == 2) {
+        memory.Remove({kTable, "", key});
+        expected.erase(key);
+      }
+      if (what == 3) memory.DropHistory();
+      if (what == 4) memory.SetDown(which == 0);
+      if (what == 5) hosts[leading].Step();
+      if (what == 6) other.Hear(hosts[leading], clock);
+      if (what == 7) other.Step();
+      if (what == 8) clock.Advance(milliseconds(400 * which));
+      if (what == 9 && which == 0) {
+        hosts[leading].store.SetLeading(false);
+        leading = 1 - leading;
+        hosts[leading].store.SetLeading(true);
+      }
+    }
+    memory.SetDown(false);
+    for (int i = 0; i < 3; ++i) hosts[leading].Step();
+    hosts[1 - leading].Hear(hosts[leading], clock);
+    for (int i = 0; i < 3; ++i) hosts[1 - leading].Step();
+    for (const auto& host : hosts) {
+      RC_ASSERT(host.recorder.rows == expected);
+      RC_ASSERT(!host.recorder.has_gone_back);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace currantbeam
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -25,6 +25,7 @@
   }
   auto OnRemoved(const std::string& key) -> void override {
     this->rows.erase(key);
+    this->was_reachable_at_removal = this->reachable;
   }
   auto OnCurrent() -> void override { ++this->batches; }
   auto OnReachable(bool reachable) -> void override {
@@ -34,6 +35,7 @@
   std::map<std::string, std::string> rows;
   int batches = 0;
   bool reachable = true;
+  bool was_reachable_at_removal = false;
 };
 
 class TableFollowerTest : public testing::Test {
@@ -89,6 +91,19 @@
   EXPECT_TRUE(this->recorder.reachable);
 }
 
+TEST_F(TableFollowerTest, TellsThatTheStoreIsBackBeforeWhatLapsedMeanwhile) {
+  this->store.Put(kRowA, "1");
+  this->store.Put(kRowB, "1");
+  for (int i = 0; i < 2; ++i) this->follower.Step();
+  this->store.SetDown(true);
+  this->follower.Step();
+  this->store.Remove(kRowA);
+  this->store.SetDown(false);
+  this->follower.Step();
+  ASSERT_EQ(this->recorder.rows.count("a"), 0U);
+  EXPECT_TRUE(this->recorder.was_reachable_at_removal);
+}
+
 TEST(TableFollower, AgreesWithTheStoreAfterAnyHistory) {
   rc::check("what is followed is what is stored", [] {
     ManualClock clock;
