Bound what is out at a server by the number of gateways

Cause: each gateway may have two requests for each slot out at a server before it learns that it is full.

Ruled out: the limit's way down (0.7 each 150 ms); it is what ends the overshoot now, after a second or two of a spell of four to five.

Change: the limit of a gateway is at most 18 requests a slot divided by the number of gateways, and at least one. Up to 9 gateways nothing changes.

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -23,6 +23,7 @@
   if (is_new_life) {
     target = std::make_shared<BackendTarget>(BackendTarget{
         entry, BackendLoad(entry.slots, kFirstLatency, this->clock.Now())});
+    target->load.ShareAmong(this->gateways);
   } else {
     target->entry = entry;
   }
@@ -43,6 +44,14 @@
   this->entries_return_until = this->clock.Now() + kEntryReturn;
 }
 
+auto BackendDirectory::SetGateways(int gateways) -> void {
+  if (gateways == this->gateways) return;
+  this->gateways = gateways;
+  for (const auto& [id, target] : this->targets) {
+    target->load.ShareAmong(gateways);
+  }
+}
+
 auto BackendDirectory::DropLapsed() -> void {
   const auto now = this->clock.Now();
   bool has_changed = false;
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -21,6 +21,8 @@
   auto Remove(const ServerId& id) -> void;
   /// Entries may have lapsed; they may be on their way back after this.
   auto OnStoreBack() -> void;
+  /// This many gateways send to the servers.
+  auto SetGateways(int gateways) -> void;
   /// Drops the servers whose entries did not come back. Call now and then.
   auto DropLapsed() -> void;
 
@@ -42,6 +44,7 @@
   std::unordered_map<ServiceName, std::vector<BackendTargetPtr>> ready;
   std::map<ServerId, TimePoint> lapsed;  ///< Until when each may come back.
   TimePoint entries_return_until{};
+  int gateways = 1;
 };
 
 }  // namespace currantbeam
--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -18,6 +18,9 @@
 constexpr double kLeastLimit = 0.1;
 /// Requests out at a time for each slot, at the most, from one gateway.
 constexpr double kLimitPerSlot = 2.0;
+/// Requests out for each slot, from all gateways together, if each sends as
+/// many as it may: they get uneven parts of a server's requests.
+constexpr double kLimitPerSlotOfAll = 18.0;
 constexpr int kFailuresToEject = 3;
 constexpr auto kFirstEjection = std::chrono::milliseconds(500);
 /// Longer than the entry of a server that has gone stays.
@@ -28,6 +31,7 @@
 
 BackendLoad::BackendLoad(int slots, Duration first_estimate, TimePoint now)
     : slots(std::max(slots, 1)),
+      most(kLimitPerSlot * this->slots),
       limit(this->slots),
       latency_us(static_cast<double>(first_estimate.count())),
       first_estimate(first_estimate),
@@ -58,6 +62,12 @@
   return true;
 }
 
+auto BackendLoad::ShareAmong(int gateways) -> void {
+  const double part = kLimitPerSlotOfAll * this->slots / gateways;
+  this->most = std::clamp(part, 1.0, kLimitPerSlot * this->slots);
+  this->limit = std::min(this->limit, this->most);
+}
+
 auto BackendLoad::OnAnswer(TimePoint now, Duration latency, Duration target)
     -> void {
   --this->in_flight;
@@ -72,7 +82,7 @@
     return;
   }
   const double step = this->limit < 1 ? this->limit : 1 / this->limit;
-  this->limit = std::min(this->limit + step, kLimitPerSlot * this->slots);
+  this->limit = std::min(this->limit + step, this->most);
 }
 
 auto BackendLoad::OnRefused(TimePoint now) -> void {
--- a/src/backends/backend_target.h
+++ b/src/backends/backend_target.h
@@ -29,6 +29,10 @@
     return this->in_flight < std::max(static_cast<int>(this->limit), 1);
   }
 
+  /// Bounds what is out at a time by the number of gateways that may send to
+  /// the server.
+  auto ShareAmong(int gateways) -> void;
+
   auto OnSent() -> void { ++this->in_flight; }
   /// @param target  the latency that the request should have had.
   auto OnAnswer(TimePoint now, Duration latency, Duration target) -> void;
@@ -47,6 +51,7 @@
   int slots;
   int in_flight = 0;
   int failures_in_row = 0;
+  double most;  ///< The limit is never above this.
   double limit;
   double credit = 0;  ///< Towards the next request, while limit is below one.
   double latency_us;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -88,7 +88,7 @@
       reload_signal(this->loop, [this] { this->PollSettings(); }) {}
 
 auto RouterProcess::Run() -> void {
-  this->ShareRetries();
+  this->NoteFleetSize();
   this->callers.Listen(this->loop);
   this->readiness.Listen(this->loop);
   this->exchange.Start(this->loop, this->keeper);
@@ -140,13 +140,14 @@
     const auto late = this->clock.Now() - began - kSweepInterval;
     this->state.is_late = late > kLateLoop;
     this->directory.DropLapsed();
-    this->ShareRetries();
+    this->NoteFleetSize();
     if (sweep % kSweepsPerSettingsPoll == 0) this->PollSettings();
   }
 }
 
-auto RouterProcess::ShareRetries() -> void {
+auto RouterProcess::NoteFleetSize() -> void {
   const int hosts = this->fleet.Hosts(this->clock.Now());
+  this->directory.SetGateways(hosts);
   this->state.SetRetryLimits(this->settings.retries.PerHost(hosts));
 }
 
@@ -156,7 +157,7 @@
     if (!changed) return;
     this->settings.stop_grace = changed->stop_grace;
     this->settings.retries = changed->retries;
-    this->ShareRetries();
+    this->NoteFleetSize();
     Log(events::kSettingsReloaded,
         "stop_grace_ms=" + std::to_string(changed->stop_grace.count()));
   } catch (const InputError& error) {
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -50,8 +50,8 @@
   /// Does what is due now and then: settings that changed, lapsed entries.
   auto Sweep() -> void;
   auto PollSettings() -> void;
-  /// Takes this host's part of the retries that all hosts may make.
-  auto ShareRetries() -> void;
+  /// Takes this host's part of what all hosts may do together.
+  auto NoteFleetSize() -> void;
   auto Drain() -> void;
   [[nodiscard]] auto IsReady() const -> bool;
 
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -196,6 +196,28 @@
   EXPECT_GT(load.Limit(), 2);
 }
 
+TEST(BackendLoad, GivesManyGatewaysTogetherNoMoreThanFew) {
+  ManualClock clock;
+  const auto all_out = [&](int gateways) -> int {
+    int out = 0;
+    for (int i = 0; i < gateways; ++i) {
+      BackendLoad load(4, milliseconds(50), clock.Now());
+      load.ShareAmong(gateways);
+      // Quick answers let it grow as far as it goes.
+      for (int answers = 0; answers < 100; ++answers) {
+        load.OnSent();
+        load.OnAnswer(clock.Now(), milliseconds(20), milliseconds(300));
+      }
+      for (; load.HasRoom(); ++out) load.OnSent();
+    }
+    return out;
+  };
+  const int few = all_out(9);
+  EXPECT_EQ(few, 72);
+  EXPECT_LE(all_out(65), few);
+  EXPECT_LE(all_out(200), 200) << "each may send one request";
+}
+
 TEST(BackendLoad, CountsWhatIsOut) {
   rc::check("in flight is sent minus ended, the limit stays in bounds", [] {
     ManualClock clock;
