Log JSON lines within a budget, serve metrics, split the request's way

Logs: one JSON object a line through log4cxx, with typed fields; 200 lines and 64 KiB a second with five seconds saved up; routine lines of requests are left out first, then failures, changes of belief last; what was dropped is counted and said. Writing never waits: a pipe without room loses lines (256 KiB are kept). Lines are written together every 100 ms in currantbeam-router. New lines: each request that is answered (route, version of the routes, server, its limit, sends, time), each failed attempt apart from the request's end (306); refusals say what decided them: in flight, limit, expected latency, time left.

Metrics: on port 9464 (deploy/system.toml): requests by service and result with latency histograms, refusals by reason, attempts by server and verdict, gauges of what the host believes and how old it is. The histogram is one class for both programs.

A follower that had no answer gives the next calls no time to wait. Test: the wait is 0 after a failure (fails first).

--- a/src/core/events.h
+++ b/src/core/events.h
@@ -10,6 +10,8 @@
 constexpr LogEvent kProcessStopped{102, LogLevel::kInfo, "process-stopped"};
 constexpr LogEvent kDrainCutShort{103, LogLevel::kError, "drain-cut-short"};
 
+constexpr LogEvent kLogDropped{104, LogLevel::kWarn, "log-dropped"};
+
 constexpr LogEvent kPlacerRole{200, LogLevel::kInfo, "placer-role"};
 constexpr LogEvent kSlotAssigned{201, LogLevel::kInfo, "slot-assigned"};
 constexpr LogEvent kDriverOrdered{202, LogLevel::kInfo, "driver-ordered"};
@@ -21,6 +23,7 @@
 constexpr LogEvent kRetried{302, LogLevel::kInfo, "retried"};
 constexpr LogEvent kFailed{303, LogLevel::kWarn, "failed"};
 constexpr LogEvent kAnswerCut{304, LogLevel::kWarn, "answer-cut"};
+constexpr LogEvent kAttemptFailed{306, LogLevel::kWarn, "attempt-failed"};
 constexpr LogEvent kReplayed{305, LogLevel::kInfo, "replayed"};
 
 constexpr LogEvent kPlatformLost{400, LogLevel::kWarn, "platform-lost"};
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -1,17 +1,64 @@
 #include "core/log_event.h"
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
+#include <array>
+#include <cstdio>
+#include <ctime>
 #include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <utility>
 
+#include "core/clock.h"
 #include "core/error.h"
+#include "core/events.h"
+#include "core/log_budget.h"
+#include "core/log_output.h"
 
 namespace currantbeam {
 namespace {
 
+constexpr auto kDroppedInterval = std::chrono::seconds(1);
+
+auto Quoted(std::string_view text) -> std::string {
+  // Texts from outside may be no UTF-8; the line is ASCII in any case.
+  return nlohmann::json(text).dump(-1, ' ', true,
+                                   nlohmann::json::error_handler_t::replace);
+}
+
+/// @return the time of day, UTC, to the millisecond.
+auto Now() -> std::string {
+  timespec now{};
+  ::clock_gettime(CLOCK_REALTIME, &now);
+  std::tm parts{};
+  ::gmtime_r(&now.tv_sec, &parts);
+  std::array<char, 32> text{};
+  const auto length =
+      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::snprintf(text.data() + length, text.size() - length, ".%03ldZ",
+                now.tv_nsec / 1'000'000);
+  return text.data();
+}
+
+auto NameOf(LogLevel level) -> std::string_view {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarn:
+      return "warn";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
 auto Logger() -> const log4cxx::LoggerPtr& {
   static const log4cxx::LoggerPtr logger =
       log4cxx::Logger::getLogger("currantbeam");
@@ -32,6 +79,110 @@
   return log4cxx::Level::getError();
 }
 
+/// Where log4cxx hands lines over; they come as they are to be written.
+class OutputAppender : public log4cxx::AppenderSkeleton {
+ public:
+  auto append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& /*pool*/) -> void override {
+    std::string line;
+    log4cxx::helpers::Transcoder::encode(event->getRenderedMessage(), line);
+    line += '\n';
+    if (!this->output.Add(line)) ++this->unwritten;
+  }
+  auto close() -> void override {}
+  [[nodiscard]] auto requiresLayout() const -> bool override { return false; }
+
+  auto Flush() -> void { this->output.Flush(); }
+  /// @return lines that found no room since the last call.
+  auto TakeUnwritten() -> std::uint64_t {
+    return std::exchange(this->unwritten, 0);
+  }
+
+ private:
+  LogOutput output{STDOUT_FILENO};
+  std::uint64_t unwritten = 0;
+};
+
+/// What all lines of a process go through.
+class LogStream {
+ public:
+  auto Start(const std::string& program, const std::string& host,
+             std::chrono::milliseconds delay) -> void {
+    const std::lock_guard lock(this->mutex);
+    this->prefix =
+        R"(,"program":)" + Quoted(program) + R"(,"host":)" + Quoted(host);
+    this->delay = delay;
+    log4cxx::BasicConfigurator::configure(this->appender);
+  }
+
+  template <typename Fields>
+  auto Write(const LogEvent& event, const Fields& fields) -> void {
+    const std::lock_guard lock(this->mutex);
+    const auto now = this->clock.Now();
+    if (!this->budget.Admit(event, now)) return;
+    this->Add(event, fields);
+    this->TellDropped(now);
+    if (now - this->flushed_at < this->delay) return;
+    this->flushed_at = now;
+    this->appender->Flush();
+  }
+
+  auto Flush() -> void {
+    const std::lock_guard lock(this->mutex);
+    this->flushed_at = this->clock.Now();
+    this->TellDropped(this->flushed_at);
+    this->appender->Flush();
+  }
+
+  [[nodiscard]] auto Dropped() -> std::uint64_t {
+    const std::lock_guard lock(this->mutex);
+    return this->dropped;
+  }
+
+ private:
+  template <typename Fields>
+  auto Add(const LogEvent& event, const Fields& fields) -> void {
+    std::string line = R"({"time":")" + Now() + R"(","level":")";
+    line += NameOf(event.level);
+    line += '"';
+    line += this->prefix;
+    LogField("event", event.number).AppendTo(line += ',');
+    LogField("name", event.name).AppendTo(line += ',');
+    for (const auto& field : fields) field.AppendTo(line += ',');
+    line += '}';
+    this->budget.Charge(line.size());
+    Logger()->forcedLog(ToLog4cxx(event.level), line);
+  }
+
+  /// Says how many lines were dropped, now and then.
+  auto TellDropped(TimePoint now) -> void {
+    if (now - this->told_at < kDroppedInterval) return;
+    this->told_at = now;
+    const auto over_budget = this->budget.TakeDropped();
+    const auto unwritten = this->appender->TakeUnwritten();
+    if (over_budget + unwritten == 0) return;
+    this->dropped += over_budget + unwritten;
+    const std::array<LogField, 2> fields = {
+        LogField("over_budget", over_budget), LogField("no_reader", unwritten)};
+    this->Add(events::kLogDropped, fields);
+  }
+
+  std::mutex mutex;  ///< Taken last, never with another inside.
+  SteadyClock clock;
+  LogBudget budget{LogBudget::Options(), this->clock.Now()};
+  std::shared_ptr<OutputAppender> appender = std::make_shared<OutputAppender>();
+  std::string prefix;
+  std::chrono::milliseconds delay{0};
+  TimePoint flushed_at{};
+  TimePoint told_at{};
+  std::uint64_t dropped = 0;
+};
+
+auto Stream() -> LogStream& {
+  static LogStream stream;
+  return stream;
+}
+
 auto ParseLevel(const std::string& level) -> LogLevel {
   if (level == "debug") return LogLevel::kDebug;
   if (level == "info") return LogLevel::kInfo;
@@ -43,25 +194,41 @@
 
 }  // namespace
 
+auto LogField::AppendTo(std::string& line) const -> void {
+  line += '"';
+  line += this->name;
+  line += "\":";
+  if (const auto* text = std::get_if<std::string_view>(&this->value)) {
+    line += Quoted(*text);
+  } else if (const auto* whole = std::get_if<std::int64_t>(&this->value)) {
+    line += std::to_string(*whole);
+  } else {
+    line += nlohmann::json(std::get<double>(this->value)).dump();
+  }
+}
+
 auto InitLogging(const std::string& program, const std::string& host,
-                 const std::string& level) -> void {
-  const auto least = ToLog4cxx(ParseLevel(level));
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      "%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p " + program + " " + host + " %m%n");
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
-  log4cxx::BasicConfigurator::configure(appender);
-  Logger()->setLevel(least);
+                 const std::string& level, std::chrono::milliseconds delay)
+    -> void {
+  Logger()->setLevel(ToLog4cxx(ParseLevel(level)));
+  Stream().Start(program, host, delay);
 }
 
 auto IsLogged(const LogEvent& event) -> bool {
   return Logger()->isEnabledFor(ToLog4cxx(event.level));
 }
 
-auto Log(const LogEvent& event, const std::string& text) -> void {
-  const auto level = ToLog4cxx(event.level);
-  if (!Logger()->isEnabledFor(level)) return;
-  Logger()->forcedLog(level, "E" + std::to_string(event.number) + " " +
-                                 std::string(event.name) + " " + text);
+auto Log(const LogEvent& event, std::initializer_list<LogField> fields)
+    -> void {
+  if (IsLogged(event)) Stream().Write(event, fields);
+}
+
+auto Log(const LogEvent& event, const std::vector<LogField>& fields) -> void {
+  if (IsLogged(event)) Stream().Write(event, fields);
 }
 
+auto FlushLog() -> void { Stream().Flush(); }
+
+auto DroppedLogLines() -> std::uint64_t { return Stream().Dropped(); }
+
 }  // namespace currantbeam
--- a/src/gateway/caller_handler.cc
+++ b/src/gateway/caller_handler.cc
@@ -30,7 +30,7 @@
 };
 
 auto CallerHandler::OnBadInput(const std::string& what) -> void {
-  Log(events::kBadRequest, "from=caller error=\"" + what + "\"");
+  Log(events::kBadRequest, {{"from", "caller"}, {"error", what}});
 }
 
 auto CallerHandler::MakeJob(const HttpRequest& request)
@@ -58,7 +58,7 @@
   try {
     auto job = this->MakeJob(exchange.Request());
     if (!job.has_value()) {
-      Log(events::kRefused, "why=not-serving");
+      Log(events::kRefused, {{"why", "not-serving"}});
       SendFailure(exchange, http::status::service_unavailable, Verdict::kNotRun,
                   "this host is not serving", std::chrono::seconds(1));
       return;
@@ -128,8 +128,9 @@
         return;
       }
       ++attempt.repeats;
-      Log(events::kRetried, "class=" + job.work.name.Value() + " key=" +
-                                job.key + " reason=\"" + error.what() + "\"");
+      Log(events::kRetried, {{"class", job.work.name.Value()},
+                             {"key", job.key},
+                             {"reason", error.what()}});
       this->state.GetMetrics().CountRetry();
       attempt.last_problem = error.what();
     }
@@ -157,19 +158,24 @@
                       : result == "cut"     ? events::kAnswerCut
                                             : events::kFailed;
   if (!IsLogged(event)) return;
-  std::ostringstream text;
-  text << "class=" << job.work.name << " neighbour=" << job.neighbour
-       << " key=" << job.key << " slot=" << job.service << "/" << attempt.slot
-       << " epoch=" << attempt.epoch << " server=" << attempt.server
-       << " driver=" << attempt.gateway
-       << " why=" << (attempt.hot ? "hot-key-slot" : "slot-owner")
-       << " reroutes=" << attempt.reroutes << " took_us=" << total.count();
-  if (!why.empty()) text << " reason=\"" << why << "\"";
-  Log(event, text.str());
+  const auto slot = job.service.Value() + "/" + std::to_string(attempt.slot);
+  std::vector<LogField> fields = {
+      {"class", job.work.name.Value()},
+      {"neighbour", job.neighbour.Value()},
+      {"key", job.key},
+      {"slot", slot},
+      {"epoch", attempt.epoch},
+      {"server", attempt.server.Value()},
+      {"driver", attempt.gateway.Value()},
+      {"why", attempt.hot ? "hot-key-slot" : "slot-owner"},
+      {"reroutes", attempt.reroutes},
+      {"took_us", total.count()}};
+  if (!why.empty()) fields.emplace_back("reason", why);
+  Log(event, fields);
 }
 
 auto HopHandler::OnBadInput(const std::string& what) -> void {
-  Log(events::kBadRequest, "from=gateway error=\"" + what + "\"");
+  Log(events::kBadRequest, {{"from", "gateway"}, {"error", what}});
 }
 
 auto HopHandler::Handle(HttpExchange& exchange) -> void {
@@ -202,7 +208,7 @@
 }
 
 auto StatusHandler::OnBadInput(const std::string& what) -> void {
-  Log(events::kBadRequest, "from=status error=\"" + what + "\"");
+  Log(events::kBadRequest, {{"from", "status"}, {"error", what}});
 }
 
 auto StatusHandler::Handle(HttpExchange& exchange) -> void {
--- a/src/gateway/driver.cc
+++ b/src/gateway/driver.cc
@@ -311,8 +311,8 @@
           this->memory.Begin(job.idempotency_key, this->state.GetClock().Now());
     }
     if (found.state != IdempotencyMemory::State::kNew) {
-      Log(events::kReplayed, "class=" + job.work.name.Value() +
-                                 " idempotency_key=" + job.idempotency_key);
+      Log(events::kReplayed, {{"class", job.work.name.Value()},
+                              {"idempotency_key", job.idempotency_key}});
       SendRemembered(exchange, found);
       return;
     }
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -49,9 +49,9 @@
   if (report.bound_to == this->followed) return;
   this->followed = report.bound_to;
   Log(events::kFollowing,
-      "placer=" + (this->followed.IsEmpty() ? "none" : this->followed.Value()) +
-          " term=" + std::to_string(report.bound_term.number) + "." +
-          std::to_string(report.bound_term.deputy));
+      {{"placer", this->followed.IsEmpty() ? "none" : this->followed.Value()},
+       {"term", std::to_string(report.bound_term.number) + "." +
+                    std::to_string(report.bound_term.deputy)}});
 }
 
 auto GatewayControl::OnMessage(const nlohmann::json& message)
@@ -87,8 +87,7 @@
       this->configuration =
           std::make_shared<Configuration>(document->body.get<Configuration>());
       this->driver.SetConfiguration(*this->configuration);
-      Log(events::kConfigInForce,
-          "version=" + std::to_string(this->configuration->version));
+      Log(events::kConfigInForce, {{"version", this->configuration->version}});
     }
     std::vector<RoutingTable::ServiceSize> services;
     for (const auto& service : this->configuration->services) {
@@ -97,7 +96,7 @@
     this->routes = RoutingTable::Build(*documents, services);
     this->state.SetView({this->configuration, this->routes});
   } catch (const nlohmann::json::exception& error) {
-    Log(events::kBadDocument, "error=\"" + std::string(error.what()) + "\"");
+    Log(events::kBadDocument, {{"error", error.what()}});
   }
 }
 
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -46,17 +46,17 @@
     this->status.Listen(this->control_loop);
     this->control.Start();
     Log(events::kProcessStarted,
-        "version=" + std::string(kVersion) +
-            " domain=" + this->state.Settings().domain.Value());
+        {{"version", kVersion},
+         {"domain", this->state.Settings().domain.Value()}});
     this->control_loop.Run();
     this->workers.Stop();
-    Log(events::kProcessStopped, "");
+    Log(events::kProcessStopped);
   }
 
  private:
   auto Drain() -> void {
     const auto limit = this->state.Settings().drain_limit;
-    Log(events::kProcessDraining, "limit_ms=" + std::to_string(limit.count()));
+    Log(events::kProcessDraining, {{"limit_ms", limit.count()}});
     this->state.SetDraining();
     this->callers.StopAccepting();
     auto left = this->callers.Drain(limit);
@@ -69,7 +69,7 @@
     this->hops.StopAccepting();
     left += this->hops.Drain(limit);
     if (left != 0) {
-      Log(events::kDrainCutShort, "in_hand=" + std::to_string(left));
+      Log(events::kDrainCutShort, {{"in_hand", left}});
     }
     this->stopped = true;
     this->control.Stop();
--- a/src/keys/kept_service.cc
+++ b/src/keys/kept_service.cc
@@ -65,7 +65,7 @@
     return true;
   } catch (const Error& error) {
     Log(events::kOwnersUnread,
-        "service=" + this->name.Value() + " error=\"" + error.what() + "\"");
+        {{"service", this->name.Value()}, {"error", error.what()}});
   }
   return false;
 }
@@ -96,17 +96,17 @@
     this->keeper.OnCommitted(result.version);
     this->stored = std::move(write.puts.front());
     this->stored.version = result.version;
-    Log(events::kOwnersCommitted,
-        "service=" + this->name.Value() + " version=" +
-            std::to_string(result.version) + " moves=" + std::to_string(moves) +
-            " fence=" + std::to_string(this->keeper.Map().LastFence()));
+    Log(events::kOwnersCommitted, {{"service", this->name.Value()},
+                                   {"version", result.version},
+                                   {"moves", moves},
+                                   {"fence", this->keeper.Map().LastFence()}});
     return update;
   }
   // Without an answer the write may be done already, or be done later.
   this->loaded_term = 0;
   Log(result.outcome == WriteOutcome::kUnknown ? events::kCommitUnknown
                                                : events::kCommitConflict,
-      "row=owners/" + this->name.Value());
+      {{"row", "owners/" + this->name.Value()}});
   return std::nullopt;
 }
 
--- a/src/keys/key_keeper.cc
+++ b/src/keys/key_keeper.cc
@@ -72,8 +72,7 @@
     const auto pause = this->StepLease();
     const bool is_held = this->lease.IsHeld();
     if (is_held != this->was_held) {
-      Log(events::kKeeperRole,
-          std::string("role=") + (is_held ? "active" : "standby"));
+      Log(events::kKeeperRole, {{"role", is_held ? "active" : "standby"}});
       this->was_held = is_held;
     }
     SleepFor(pause);
--- /dev/null
+++ b/src/metrics/metrics.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// @file
+/// Public header of the metrics library: what is counted and timed, in the
+/// text exposition format that common scrapers read.
+
+#include "metrics/latency_histogram.h"
--- a/src/operators/operator_handler.cc
+++ b/src/operators/operator_handler.cc
@@ -54,7 +54,7 @@
 }  // namespace
 
 auto OperatorHandler::OnBadInput(const std::string& what) -> void {
-  Log(events::kBadCommand, "error=\"" + what + "\"");
+  Log(events::kBadCommand, {{"error", what}});
 }
 
 auto OperatorHandler::Handle(HttpExchange& exchange) -> void {
@@ -218,8 +218,7 @@
   const auto result =
       this->process.GetConfigStore().Apply(std::move(configuration), base);
   if (!result.stored) {
-    Log(events::kConfigRefused, "base=" + std::to_string(base) + " newest=" +
-                                    std::to_string(result.version));
+    Log(events::kConfigRefused, {{"base", base}, {"newest", result.version}});
     return JsonAnswer(
         http::status::conflict,
         {{"error", "the configuration has changed since version " +
--- a/src/peers/peer_links.cc
+++ b/src/peers/peer_links.cc
@@ -110,7 +110,7 @@
   }
 
   auto Refuse(Link& link, const std::string& what) -> void {
-    Log(events::kBadPeerMessage, "error=\"" + what + "\"");
+    Log(events::kBadPeerMessage, {{"error", what}});
     this->Drop(link);
   }
 
--- a/src/peers/peer_server.cc
+++ b/src/peers/peer_server.cc
@@ -84,7 +84,7 @@
 
   auto Refuse(const websocketpp::connection_hdl& handle,
               const std::string& what) -> void {
-    Log(events::kBadPeerMessage, "error=\"" + what + "\"");
+    Log(events::kBadPeerMessage, {{"error", what}});
     websocketpp::lib::error_code ignored;
     this->server.close(handle, websocketpp::close::status::invalid_payload,
                        what.substr(0, 100), ignored);
--- a/src/placer/main.cc
+++ b/src/placer/main.cc
@@ -23,9 +23,9 @@
   auto Run() -> void {
     this->operators.Listen(this->loop);
     this->process.Start();
-    Log(events::kProcessStarted, "version=" + std::string(kVersion));
+    Log(events::kProcessStarted, {{"version", kVersion}});
     this->loop.Run();
-    Log(events::kProcessStopped, "");
+    Log(events::kProcessStopped);
   }
 
  private:
@@ -37,7 +37,7 @@
   }
 
   auto Stop() -> void {
-    Log(events::kProcessDraining, "");
+    Log(events::kProcessDraining);
     this->operators.StopAccepting();
     this->operators.Drain(kDrainLimit);
     this->process.Stop();
--- a/src/placer/placer_process.cc
+++ b/src/placer/placer_process.cc
@@ -91,7 +91,7 @@
 auto PlacerProcess::NotePlatform(bool reachable) -> void {
   if (reachable == this->platform_reachable) return;
   this->platform_reachable = reachable;
-  Log(reachable ? events::kPlatformBack : events::kPlatformLost, "");
+  Log(reachable ? events::kPlatformBack : events::kPlatformLost);
 }
 
 auto PlacerProcess::OnReport(const nlohmann::json& message) -> void {
@@ -196,10 +196,10 @@
     this->NotePlatform(outcome != CommitOutcome::kUnknown);
     const auto& operation = request.transaction.operation_id;
     if (outcome == CommitOutcome::kConflict) {
-      Log(events::kCommitConflict, "operation=" + operation);
+      Log(events::kCommitConflict, {{"operation", operation}});
     }
     if (outcome == CommitOutcome::kUnknown) {
-      Log(events::kCommitUnknown, "operation=" + operation);
+      Log(events::kCommitUnknown, {{"operation", operation}});
     }
     this->placer.OnTableCommit(request, outcome);
   }
@@ -210,25 +210,26 @@
   for (const auto& decision : this->placer.TakeDecisions()) {
     this->notes[{decision.service, decision.slot}] = {WallClock(),
                                                       decision.reason};
-    Log(events::kSlotAssigned,
-        "slot=" + decision.service.Value() + "/" +
-            std::to_string(decision.slot) + " from=" + decision.from.Value() +
-            " to=" + decision.to.Value() + " epoch=" +
-            std::to_string(decision.epoch) + " why=" + decision.reason);
+    Log(events::kSlotAssigned, {{"slot", decision.service.Value() + "/" +
+                                             std::to_string(decision.slot)},
+                                {"from", decision.from.Value()},
+                                {"to", decision.to.Value()},
+                                {"epoch", decision.epoch},
+                                {"why", decision.reason}});
   }
   for (const auto& decision : this->placer.TakeDriveDecisions()) {
     Log(decision.lapsed ? events::kServerLapsed : events::kDriverOrdered,
-        "server=" + decision.server.Value() +
-            " driver=" + decision.gateway.Value() +
-            " token=" + std::to_string(decision.token));
+        {{"server", decision.server.Value()},
+         {"driver", decision.gateway.Value()},
+         {"token", decision.token}});
   }
   const auto now_role = this->placer.GetElection().GetRole();
   if (now_role == this->role) return;
   this->role = now_role;
   const auto term = this->placer.GetElection().GetTerm();
-  Log(events::kPlacerRole, "role=" + RoleName(now_role) +
-                               " term=" + std::to_string(term.number) + "." +
-                               std::to_string(term.deputy));
+  Log(events::kPlacerRole, {{"role", RoleName(now_role)},
+                            {"term", std::to_string(term.number) + "." +
+                                         std::to_string(term.deputy)}});
 }
 
 auto PlacerProcess::TickLoop() -> void {
@@ -261,8 +262,7 @@
   }
   this->placer.SetConfiguration(placing);
   Log(events::kConfigStored,
-      "version=" + std::to_string(configuration.version) +
-          " author=" + configuration.author);
+      {{"version", configuration.version}, {"author", configuration.author}});
 }
 
 auto PlacerProcess::AdoptConfigDocument() -> void {
@@ -322,7 +322,7 @@
     try {
       if (this->config_store.Acknowledge(this->settings.domain, in_force)) {
         this->acknowledged = in_force;
-        Log(events::kConfigInForce, "version=" + std::to_string(in_force));
+        Log(events::kConfigInForce, {{"version", in_force}});
       }
     } catch (const PlatformError&) {
       this->NotePlatform(false);
@@ -335,7 +335,7 @@
     SleepFor(kFlushInterval);
     if (!this->placer.IsReady()) continue;
     const auto rows = this->account_store.Flush();
-    if (rows != 0) Log(events::kAccountFlushed, "rows=" + std::to_string(rows));
+    if (rows != 0) Log(events::kAccountFlushed, {{"rows", rows}});
   }
 }
 
--- /dev/null
+++ b/src/router/end_to_end_headers.cc
@@ -0,0 +1,41 @@
+#include "router/end_to_end_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace currantbeam {
+namespace {
+
+/// Headers that concern one connection only.
+constexpr std::array<http::field, 8> kHopByHop = {
+    http::field::connection,       http::field::keep_alive,
+    http::field::proxy_connection, http::field::te,
+    http::field::trailer,          http::field::transfer_encoding,
+    http::field::upgrade,          http::field::content_length};
+
+auto IsHopByHop(http::field name) -> bool {
+  return std::find(kHopByHop.begin(), kHopByHop.end(), name) != kHopByHop.end();
+}
+
+}  // namespace
+
+auto CopyEndToEnd(const HttpFields& from, HttpFields& to) -> void {
+  // Headers that the sender names in Connection end at this hop as well.
+  auto named = http::token_list(from[http::field::connection]);
+  for (const auto& field : from) {
+    if (IsHopByHop(field.name())) continue;
+    if (named.exists(field.name_string())) continue;
+    to.insert(field.name(), field.name_string(), field.value());
+  }
+}
+
+auto ParseNumber(std::string_view text) -> std::optional<std::int64_t> {
+  std::int64_t number = 0;
+  const auto* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, number);
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  return number;
+}
+
+}  // namespace currantbeam
--- a/src/router/owner_directory.cc
+++ b/src/router/owner_directory.cc
@@ -40,7 +40,7 @@
     known.version = row.version;
   } catch (const InputError& error) {
     Log(events::kOwnersUnread,
-        "service=" + row.name.key + " error=\"" + error.what() + "\"");
+        {{"service", row.name.key}, {"error", error.what()}});
   }
 }
 
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -111,9 +111,9 @@
     return true;
   } catch (const RequestError& error) {
     Log(events::kReportLost,
-        "keeper=" + ToText(endpoint) + " error=\"" + error.what() + "\"");
+        {{"keeper", ToText(endpoint)}, {"error", error.what()}});
   } catch (const InputError& error) {
-    Log(events::kBadPeerMessage, std::string("error=\"") + error.what() + "\"");
+    Log(events::kBadPeerMessage, {{"error", error.what()}});
   }
   return false;
 }
@@ -150,7 +150,7 @@
   try {
     this->TakeOwners(this->store.Read(kOwnersTable, "").rows);
   } catch (const StoreError& error) {
-    Log(events::kOwnersUnread, std::string("error=\"") + error.what() + "\"");
+    Log(events::kOwnersUnread, {{"error", error.what()}});
     this->owners.AskForRead();
   }
 }
@@ -171,7 +171,7 @@
     return true;
   } catch (const Error& error) {
     Log(events::kReportLost,
-        "keeper=" + ToText(endpoint) + " error=\"" + error.what() + "\"");
+        {{"keeper", ToText(endpoint)}, {"error", error.what()}});
   }
   return false;
 }
@@ -198,7 +198,7 @@
   } catch (const RequestError& error) {
     // The answer to the host's next report tells it that it missed something.
     Log(events::kUpdateLost,
-        "peer=" + ToText(endpoint) + " error=\"" + error.what() + "\"");
+        {{"peer", ToText(endpoint)}, {"error", error.what()}});
   }
 }
 
@@ -250,7 +250,7 @@
 }
 
 auto PeerExchange::OnBadInput(const std::string& what) -> void {
-  Log(events::kBadPeerMessage, "what=\"" + what + "\"");
+  Log(events::kBadPeerMessage, {{"what", what}});
 }
 
 }  // namespace currantbeam
--- a/src/router/request_forwarder.cc
+++ b/src/router/request_forwarder.cc
@@ -19,7 +19,7 @@
 }
 
 auto RequestForwarder::OnBadInput(const std::string& what) -> void {
-  Log(events::kBadRequest, "what=\"" + what + "\"");
+  Log(events::kBadRequest, {{"what", what}});
 }
 
 }  // namespace currantbeam
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -10,12 +10,23 @@
 #include "router/backend_chooser.h"
 #include "router/forwarding_headers.h"
 #include "router/owner_directory.h"
+#include "router/request_metrics.h"
 #include "router/route_table.h"
 
 namespace currantbeam {
 
 /// What requests are forwarded by: shared by all requests of one loop.
 struct ForwardingState {
+  ForwardingState(const Clock& clock, ForwardingHeaders headers,
+                  BackendDirectory& directory, OwnerDirectory& owners,
+                  LoadRecorder& loads, FailureDomain domain)
+      : clock(clock),
+        headers(std::move(headers)),
+        directory(directory),
+        owners(owners),
+        loads(loads),
+        chooser(clock, std::move(domain)) {}
+
   const Clock& clock;
   ForwardingHeaders headers;
   BackendDirectory& directory;
@@ -27,6 +38,7 @@
   bool is_late = false;
   std::shared_ptr<const RouteTable> routes;
   TargetSequence sequence;
+  RequestMetrics metrics;
   std::unordered_map<ServiceName, RetryBudget> budgets;
 
   auto BudgetOf(const ServiceName& service) -> RetryBudget&;
--- /dev/null
+++ b/src/router/request_metrics.cc
@@ -0,0 +1,110 @@
+#include "router/request_metrics.h"
+
+#include "router/server_attempt.h"
+
+namespace currantbeam {
+namespace {
+
+/// Servers that are told apart; beyond, the one that sorts first is dropped.
+constexpr std::size_t kMostServers = 1000;
+
+auto ToString(RequestResult result) -> std::string {
+  switch (result) {
+    case RequestResult::kAnswered:
+      return "answered";
+    case RequestResult::kRefused:
+      return "refused";
+    case RequestResult::kFailed:
+      return "failed";
+    case RequestResult::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
+auto ToString(AttemptEnd end) -> std::string {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "ran";
+    case AttemptEnd::kNotRun:
+      return "not_run";
+    case AttemptEnd::kWrongOwner:
+      return "wrong_owner";
+    case AttemptEnd::kMayHaveRun:
+      return "may_have_run";
+    case AttemptEnd::kClientGone:
+      return "client_gone";
+  }
+  return "unknown";
+}
+
+auto Label(const std::string& name, const std::string& value) -> std::string {
+  return name + "=\"" + value + "\"";
+}
+
+auto AppendCount(std::string& text, const std::string& name,
+                 const std::string& labels, std::uint64_t count) -> void {
+  text += name + "{" + labels + "} " + std::to_string(count) + "\n";
+}
+
+}  // namespace
+
+auto RequestMetrics::OnRequest(const ServiceName& service, RequestResult result,
+                               Duration took) -> void {
+  auto& metrics = this->services[service];
+  ++metrics.results[result];
+  metrics.latency.Record(took);
+}
+
+auto RequestMetrics::OnRefusal(std::string_view reason) -> void {
+  const auto it = this->refusals.find(reason);
+  if (it != this->refusals.end()) {
+    ++it->second;
+  } else {
+    this->refusals.emplace(reason, 1);
+  }
+}
+
+auto RequestMetrics::OnAttempt(const ServiceName& service,
+                               const ServerId& server, AttemptEnd end) -> void {
+  auto& attempts = this->servers[server];
+  attempts.service = service;
+  ++attempts.ends[end];
+  if (this->servers.size() > kMostServers) {
+    this->servers.erase(this->servers.begin());
+  }
+}
+
+auto RequestMetrics::AppendTo(std::string& text) const -> void {
+  text += "# TYPE currantbeam_requests_total counter\n";
+  for (const auto& [service, metrics] : this->services) {
+    for (const auto& [result, count] : metrics.results) {
+      AppendCount(text, "currantbeam_requests_total",
+                  Label("service", service.Value()) + "," +
+                      Label("result", ToString(result)),
+                  count);
+    }
+  }
+  text += "# TYPE currantbeam_refusals_total counter\n";
+  for (const auto& [reason, count] : this->refusals) {
+    AppendCount(text, "currantbeam_refusals_total", Label("reason", reason),
+                count);
+  }
+  text += "# TYPE currantbeam_attempts_total counter\n";
+  for (const auto& [server, attempts] : this->servers) {
+    for (const auto& [end, count] : attempts.ends) {
+      AppendCount(text, "currantbeam_attempts_total",
+                  Label("service", attempts.service.Value()) + "," +
+                      Label("server", server.Value()) + "," +
+                      Label("verdict", ToString(end)),
+                  count);
+    }
+  }
+  text += "# TYPE currantbeam_request_seconds histogram\n";
+  for (const auto& [service, metrics] : this->services) {
+    metrics.latency.AppendTo(text, "currantbeam_request_seconds",
+                             Label("service", service.Value()));
+  }
+}
+
+}  // namespace currantbeam
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -60,21 +60,14 @@
              this->peers.schema.BackendsTable()}),
       exchange(settings, this->clock, this->loads, this->owners, this->fleet,
                this->store),
-      state{this->clock,
-            this->peers.headers,
-            this->directory,
-            this->owners,
-            this->loads,
-            BackendChooser(this->clock, settings.domain),
-            {},
-            false,
-            nullptr,
-            {},
-            {}},
+      state(this->clock, this->peers.headers, this->directory, this->owners,
+            this->loads, settings.domain),
       forwarder(this->state),
       readiness_handler(*this),
       callers(OptionsFor(settings.callers), this->forwarder),
       readiness(OptionsFor(settings.readiness), this->readiness_handler),
+      metrics_page(*this),
+      metrics(OptionsFor(settings.metrics), this->metrics_page),
       keeper(this->peers.store, this->peers.grants, this->clock,
              this->directory, KeeperOptions(settings),
              [this](const OwnerUpdate& update) {
@@ -91,6 +84,7 @@
   this->NoteFleetSize();
   this->callers.Listen(this->loop);
   this->readiness.Listen(this->loop);
+  this->metrics.Listen(this->loop);
   this->exchange.Start(this->loop, this->keeper);
   this->loop.Spawn([this] {
     this->StartFollowing(this->peers.schema.RoutesTable(),
@@ -100,10 +94,11 @@
     this->keeper.Start();
     this->Sweep();
   });
-  Log(events::kProcessStarted, "version=" + std::string(kVersion) +
-                                   " domain=" + this->settings.domain.Value());
+  Log(events::kProcessStarted,
+      {{"version", kVersion}, {"domain", this->settings.domain.Value()}});
   this->loop.Run();
-  Log(events::kProcessStopped, "");
+  Log(events::kProcessStopped);
+  FlushLog();
 }
 
 auto RouterProcess::StartFollowing(const std::string& table,
@@ -131,6 +126,7 @@
   }
   this->keeper.SetServices(keyed);
   this->state.routes = std::make_shared<const RouteTable>(std::move(config));
+  this->routes_at = this->clock.Now();
 }
 
 auto RouterProcess::Sweep() -> void {
@@ -140,6 +136,7 @@
     const auto late = this->clock.Now() - began - kSweepInterval;
     this->state.is_late = late > kLateLoop;
     this->directory.DropLapsed();
+    FlushLog();
     this->NoteFleetSize();
     if (sweep % kSweepsPerSettingsPoll == 0) this->PollSettings();
   }
@@ -159,10 +156,9 @@
     this->settings.retries = changed->retries;
     this->NoteFleetSize();
     Log(events::kSettingsReloaded,
-        "stop_grace_ms=" + std::to_string(changed->stop_grace.count()));
+        {{"stop_grace_ms", changed->stop_grace.count()}});
   } catch (const InputError& error) {
-    Log(events::kSettingsReloaded,
-        std::string("error=\"") + error.what() + "\"");
+    Log(events::kSettingsReloaded, {{"error", error.what()}});
   }
 }
 
@@ -178,7 +174,7 @@
 auto RouterProcess::Drain() -> void {
   if (this->draining) return;
   const auto grace = this->settings.stop_grace;
-  Log(events::kProcessDraining, "limit_ms=" + std::to_string(grace.count()));
+  Log(events::kProcessDraining, {{"limit_ms", grace.count()}});
   const auto began = this->clock.Now();
   this->draining = true;
   this->callers.CloseAfterAnswers();
@@ -191,11 +187,29 @@
   const auto in_hand = this->callers.Drain(
       std::chrono::duration_cast<std::chrono::milliseconds>(left));
   if (in_hand != 0) {
-    Log(events::kDrainCutShort, "in_hand=" + std::to_string(in_hand));
+    Log(events::kDrainCutShort, {{"in_hand", in_hand}});
   }
   this->loop.Stop();
 }
 
+auto RouterProcess::AppendMetrics(std::string& text) const -> void {
+  const auto now = this->clock.Now();
+  HostGauges gauges;
+  gauges.is_ready = this->IsReady();
+  gauges.is_keeper = this->keeper.IsActive();
+  if (this->state.routes != nullptr) {
+    gauges.routes_version = this->state.routes->Config().version;
+    gauges.routes_age = now - this->routes_at;
+  }
+  gauges.table_ages = this->store.Ages();
+  gauges.servers = this->directory.All().size();
+  gauges.hosts = this->fleet.Hosts(now);
+  gauges.in_hand = this->callers.InHand();
+  gauges.dropped_log_lines = DroppedLogLines();
+  AppendGauges(text, gauges);
+  this->state.metrics.AppendTo(text);
+}
+
 auto RouterProcess::ReadinessHandler::Handle(HttpExchange& exchange) -> void {
   const bool is_ready = this->process.IsReady();
   HttpResponse response{
@@ -206,7 +220,7 @@
 
 auto RouterProcess::ReadinessHandler::OnBadInput(const std::string& what)
     -> void {
-  Log(events::kBadRequest, "what=\"" + what + "\"");
+  Log(events::kBadRequest, {{"what", what}});
 }
 
 }  // namespace currantbeam
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -4,6 +4,7 @@
 
 #include "keys/keys.h"
 #include "program/program.h"
+#include "router/metrics_page.h"
 #include "router/peer_exchange.h"
 #include "router/request_forwarder.h"
 #include "router/router_settings.h"
@@ -22,7 +23,7 @@
 
 /// The one process of an entry host: forwards callers' requests, follows the
 /// store, and stands ready to keep the owners of keys. One thread.
-class RouterProcess {
+class RouterProcess : private MetricsSource {
  public:
   RouterProcess(const RouterSettings& settings, RouterPeers peers);
 
@@ -53,6 +54,7 @@
   /// Takes this host's part of what all hosts may do together.
   auto NoteFleetSize() -> void;
   auto Drain() -> void;
+  auto AppendMetrics(std::string& text) const -> void override;
   [[nodiscard]] auto IsReady() const -> bool;
 
   RouterSettings settings;
@@ -70,11 +72,14 @@
   ReadinessHandler readiness_handler;
   HttpServer callers;
   HttpServer readiness;
+  MetricsPage metrics_page;
+  HttpServer metrics;
   KeyKeeper keeper;
   RoutesListener routes_listener;
   BackendsListener backends_listener;
   StopSignal stop_signal;
   ReloadSignal reload_signal;
+  TimePoint routes_at{};  ///< When the routes came into force here.
   bool draining = false;
 };
 
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -25,6 +25,7 @@
   Endpoint readiness;
   Endpoint store;
   Endpoint peers;  ///< Where other hosts reach this one.
+  Endpoint metrics;
   /// From the signal to stop until the process is killed.
   std::chrono::milliseconds stop_grace{6000};
   RetryLimits retries;         ///< Of all hosts together.
--- a/src/router/store_listeners.cc
+++ b/src/router/store_listeners.cc
@@ -6,7 +6,7 @@
 namespace {
 
 auto LogReachable(const std::string& table, bool reachable) -> void {
-  Log(reachable ? events::kTableBack : events::kTableLost, "table=" + table);
+  Log(reachable ? events::kTableBack : events::kTableLost, {{"table", table}});
 }
 
 }  // namespace
@@ -17,12 +17,11 @@
     if (!config || config->version <= this->version) return;
     this->version = config->version;
     Log(events::kRoutesInForce,
-        "version=" + std::to_string(config->version) +
-            " store_version=" + std::to_string(row.version));
+        {{"version", config->version}, {"store_version", row.version}});
     this->on_routes(std::move(*config));
   } catch (const InputError& error) {
-    Log(events::kRoutesUnread, "in_force=" + std::to_string(this->version) +
-                                   " error=\"" + error.what() + "\"");
+    Log(events::kRoutesUnread,
+        {{"in_force", this->version}, {"error", error.what()}});
   }
 }
 
@@ -36,22 +35,23 @@
     this->directory.Apply(entry);
     this->unreadable.erase(row.name.key);
     Log(events::kBackendKnown,
-        "server=" + entry.id.Value() + " service=" + entry.service.Value() +
-            " domain=" + entry.domain.Value() +
-            " state=" + (entry.is_draining ? "draining" : "ready") +
-            " store_version=" + std::to_string(row.version));
+        {{"server", entry.id.Value()},
+         {"service", entry.service.Value()},
+         {"domain", entry.domain.Value()},
+         {"state", entry.is_draining ? "draining" : "ready"},
+         {"store_version", row.version}});
   } catch (const InputError& error) {
     this->directory.Remove(ServerId(row.name.key));
     if (!this->unreadable.insert(row.name.key).second) return;
     Log(events::kBackendUnread,
-        "server=" + row.name.key + " error=\"" + error.what() + "\"");
+        {{"server", row.name.key}, {"error", error.what()}});
   }
 }
 
 auto BackendsListener::OnRemoved(const std::string& key) -> void {
   this->unreadable.erase(key);
   this->directory.Remove(ServerId(key));
-  Log(events::kBackendGone, "server=" + key);
+  Log(events::kBackendGone, {{"server", key}});
 }
 
 auto BackendsListener::OnReachable(bool reachable) -> void {
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -14,7 +14,7 @@
 constexpr auto kLeadingWait = std::chrono::milliseconds(500);
 /// A host that hears nothing from the leading one looks for it again after
 /// this.
-constexpr auto kAloneWait = std::chrono::milliseconds(3000);
+constexpr auto kAloneWait = std::chrono::milliseconds(2000);
 
 /// Lets others cut a timer short while this exists.
 class Waiting {
@@ -109,6 +109,14 @@
   return versions;
 }
 
+auto RelayedStore::Ages() const -> std::map<std::string, Duration> {
+  std::map<std::string, Duration> ages;
+  for (const auto& [name, shared] : this->tables) {
+    ages.emplace(name, this->clock.Now() - shared.table.AsOf());
+  }
+  return ages;
+}
+
 auto RelayedStore::NewsSince(
     const std::map<std::string, StoreVersion>& versions) const
     -> std::vector<TableNews> {
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -29,6 +29,8 @@
   auto SetLeading(bool is_leading) -> void { this->is_leading = is_leading; }
   /// @return the shared tables, and up to which version this host knows them.
   [[nodiscard]] auto Versions() const -> std::map<std::string, StoreVersion>;
+  /// @return since when each shared table is known to be as it is known here.
+  [[nodiscard]] auto Ages() const -> std::map<std::string, Duration>;
   /// @return what a host is told that knows the tables up to these versions.
   [[nodiscard]] auto NewsSince(
       const std::map<std::string, StoreVersion>& versions) const
--- a/src/store/relayed_table.h
+++ b/src/store/relayed_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +38,10 @@
   [[nodiscard]] auto FreshUntil() const -> TimePoint;
   /// @return the version up to which the table is known here; 0 if it is not.
   [[nodiscard]] auto Version() const -> StoreVersion { return this->version; }
+  /// @return when the table was last seen to be as it is known here.
+  [[nodiscard]] auto AsOf() const -> TimePoint {
+    return std::max(this->as_of, this->heard_as_of);
+  }
   /// @return what a host that knows the table up to a version is told; nothing
   ///   while this host does not know the table.
   [[nodiscard]] auto NewsSince(StoreVersion after, TimePoint now) const
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -49,8 +49,12 @@
 }
 
 auto TableFollower::ApplyChanges() -> bool {
-  const auto batch = this->store.Follow(this->options.table, this->version,
-                                        this->options.wait);
+  // A store that did not answer is not given long, as a call that it never
+  // answers would hide that it is back.
+  const auto wait =
+      this->reachable ? this->options.wait : std::chrono::milliseconds(0);
+  const auto batch =
+      this->store.Follow(this->options.table, this->version, wait);
   this->NoteReachable(true);
   bool has_changed = false;
   for (const auto& row : batch.rows) {
--- a/src/store/table_follower.h
+++ b/src/store/table_follower.h
@@ -28,7 +28,7 @@
   /// Pause after a change, so that changes close to each other come together.
   std::chrono::milliseconds batching{0};
   std::chrono::milliseconds first_retry{100};
-  std::chrono::milliseconds last_retry{1000};
+  std::chrono::milliseconds last_retry{500};
 };
 
 /// Keeps a listener up to date with one table: reads it whole, then follows
--- /dev/null
+++ b/tests/core/log_test.cc
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "core/core.h"
+#include "core/events.h"
+#include "core/log_budget.h"
+#include "core/log_output.h"
+
+namespace currantbeam {
+namespace {
+
+constexpr LogBudget::Options kSmall{10, 100'000, 4};
+
+auto CountAdmitted(LogBudget& budget, const LogEvent& event, TimePoint now)
+    -> int {
+  int admitted = 0;
+  for (int i = 0; i < 1000; ++i) admitted += budget.Admit(event, now) ? 1 : 0;
+  return admitted;
+}
+
+TEST(LogBudget, LeavesOutRoutineLinesFirstAndBeliefsLast) {
+  ManualClock clock;
+  LogBudget budget(kSmall, clock.Now());
+  EXPECT_EQ(CountAdmitted(budget, events::kRouted, clock.Now()), 20);
+  EXPECT_EQ(CountAdmitted(budget, events::kFailed, clock.Now()), 10);
+  EXPECT_EQ(CountAdmitted(budget, events::kKeeperRole, clock.Now()), 10);
+  EXPECT_EQ(budget.TakeDropped(), 980U + 990U + 990U);
+  EXPECT_EQ(budget.TakeDropped(), 0U);
+  clock.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(CountAdmitted(budget, events::kRouted, clock.Now()), 0);
+  EXPECT_EQ(CountAdmitted(budget, events::kKeeperRole, clock.Now()), 10);
+}
+
+TEST(LogBudget, CountsBytesToo) {
+  ManualClock clock;
+  LogBudget budget(kSmall, clock.Now());
+  ASSERT_TRUE(budget.Admit(events::kKeeperRole, clock.Now()));
+  budget.Charge(500'000);
+  EXPECT_FALSE(budget.Admit(events::kKeeperRole, clock.Now()));
+  clock.Advance(std::chrono::seconds(2));
+  EXPECT_TRUE(budget.Admit(events::kKeeperRole, clock.Now()));
+}
+
+class Pipe {
+ public:
+  Pipe() {
+    if (::pipe(this->ends.data()) != 0) throw Error("no pipe");
+  }
+  ~Pipe() {
+    ::close(this->ends[0]);
+    ::close(this->ends[1]);
+  }
+  Pipe(const Pipe&) = delete;
+  auto operator=(const Pipe&) -> Pipe& = delete;
+
+  [[nodiscard]] auto Writer() const -> int { return this->ends[1]; }
+  auto Read(std::size_t most) -> std::string {
+    std::string text(most, '\0');
+    const auto got = ::read(this->ends[0], text.data(), most);
+    text.resize(got < 0 ? 0 : static_cast<std::size_t>(got));
+    return text;
+  }
+
+ private:
+  std::array<int, 2> ends{};
+};
+
+TEST(LogOutput, DropsLinesInsteadOfWaitingForAReader) {
+  Pipe pipe;
+  LogOutput output(pipe.Writer());
+  const std::string line(1000, 'x');
+  int kept = 0;
+  // Would never return if it waited, as nobody reads.
+  for (int i = 0; i < 1000; ++i) {
+    kept += output.Add(line) ? 1 : 0;
+    output.Flush();
+  }
+  EXPECT_GT(kept, 100);
+  EXPECT_LT(kept, 1000);
+  // What was kept comes out whole and in order once there is a reader.
+  std::size_t read = 0;
+  while (read < static_cast<std::size_t>(kept) * line.size()) {
+    const auto text = pipe.Read(65536);
+    ASSERT_EQ(text, std::string(text.size(), 'x'));
+    read += text.size();
+    output.Flush();
+  }
+  EXPECT_EQ(output.Pending(), 0U);
+}
+
+TEST(Log, WritesAJsonObjectALine) {
+  testing::internal::CaptureStdout();
+  InitLogging("program", "host-1", "info");
+  Log(events::kRefused, {{"request", "a\"b\xff\n"},
+                         {"sends", 2},
+                         {"limit", 0.5},
+                         {"may_have_run", false}});
+  Log(LogEvent{999, LogLevel::kDebug, "unseen"});
+  FlushLog();
+  std::istringstream lines(testing::internal::GetCapturedStdout());
+  std::string line;
+  ASSERT_TRUE(std::getline(lines, line));
+  const auto json = nlohmann::json::parse(line);
+  EXPECT_EQ(json.at("level"), "warn");
+  EXPECT_EQ(json.at("program"), "program");
+  EXPECT_EQ(json.at("host"), "host-1");
+  EXPECT_EQ(json.at("event"), 301);
+  EXPECT_EQ(json.at("name"), "refused");
+  EXPECT_EQ(json.at("request"), "a\"b\xEF\xBF\xBD\n");
+  EXPECT_EQ(json.at("sends"), 2);
+  EXPECT_EQ(json.at("limit"), 0.5);
+  EXPECT_EQ(json.at("time").get<std::string>().size(), 24U);
+  EXPECT_FALSE(std::getline(lines, line)) << line;
+}
+
+TEST(Log, RefusesALevelThatIsNone) {
+  EXPECT_THROW(InitLogging("p", "h", "loud"), InputError);
+}
+
+}  // namespace
+}  // namespace currantbeam
--- a/tests/platform_wire/wire_fleet.cc
+++ b/tests/platform_wire/wire_fleet.cc
@@ -46,6 +46,8 @@
                           static_cast<std::uint16_t>(base_port + 2)};
   this->settings.peers = {"127.0.0.1",
                           static_cast<std::uint16_t>(base_port + 3)};
+  this->settings.metrics = {"127.0.0.1",
+                            static_cast<std::uint16_t>(base_port + 19)};
   this->settings.stop_grace = std::chrono::milliseconds(1000);
   this->client = std::make_unique<TableStoreClient>(this->settings.store);
   this->ports.push_back(std::make_unique<HttpServer>(
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -120,11 +120,10 @@
   LoadRecorder loads;
   RouteConfig config;
   config.hosts["h"] = {MakeRoute("s", "/s/")};
-  ForwardingState state{
-      clock,  {},    directory,
-      owners, loads, BackendChooser(clock, FailureDomain("x")),
-      {},     true,  std::make_shared<const RouteTable>(config),
-      {},     {}};
+  ForwardingState state(clock, {}, directory, owners, loads,
+                        FailureDomain("x"));
+  state.is_late = true;
+  state.routes = std::make_shared<const RouteTable>(config);
   AbandonedExchange exchange;
   ForwardedRequest(state, exchange).Run();
   EXPECT_TRUE(exchange.is_aborted);
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -104,6 +104,46 @@
   EXPECT_TRUE(this->recorder.was_reachable_at_removal);
 }
 
+/// Notes how long the store may hold back its answers.
+class WaitRecorder : public StoreClient {
+ public:
+  explicit WaitRecorder(MemoryStore& store) : store(store) {}
+  auto Read(const std::string& table, const std::string& partition)
+      -> RowBatch override {
+    return this->store.Read(table, partition);
+  }
+  auto Follow(const std::string& table, StoreVersion after,
+              std::chrono::milliseconds wait) -> RowBatch override {
+    this->last_wait = wait;
+    return this->store.Follow(table, after, wait);
+  }
+  auto Write(const StoreWrite& write) -> WriteResult override {
+    return this->store.Write(write);
+  }
+
+  std::chrono::milliseconds last_wait{0};
+
+ private:
+  MemoryStore& store;
+};
+
+TEST(TableFollower, DoesNotWaitLongOnAStoreThatDidNotAnswer) {
+  ManualClock clock;
+  MemoryStore memory(clock);
+  WaitRecorder store(memory);
+  Recorder recorder;
+  TableFollower follower(store, Options(), recorder);
+  for (int i = 0; i < 2; ++i) follower.Step();
+  EXPECT_EQ(store.last_wait, Options().wait);
+  memory.SetDown(true);
+  // The first call finds out; the next ones look whether the store is back.
+  for (int i = 0; i < 3; ++i) follower.Step();
+  EXPECT_EQ(store.last_wait, std::chrono::milliseconds(0));
+  memory.SetDown(false);
+  for (int i = 0; i < 2; ++i) follower.Step();
+  EXPECT_EQ(store.last_wait, Options().wait);
+}
+
 TEST(TableFollower, AgreesWithTheStoreAfterAnyHistory) {
   rc::check("what is followed is what is stored", [] {
     ManualClock clock;
