Raise tokens of grants whose answers got lost at most every two seconds

Followed in the log: from 13.4 s to 16.5 s, while 150 servers lose answers by resets, the keeper commits new tokens every 65 ms, each time for all stripes of the servers that reset a connection, pushes each change to 82 hosts and grants the stripes anew. Its grants then come too late: 31,441 requests came to servers that no longer held their keys, 39,270 of 65,648 arrivals were refused, and the limits stayed low until 24 s.

Ruled out: the outage of the store for some hosts (2.5 to 11.5 s), in which little was refused.

Change: a write that raises tokens only waits until two seconds after the last write. Holds last eight seconds and are renewed after four, so no key goes without a grant meanwhile; writes that move keys are as quick as before.

--- a/src/keys/service_keeper.cc
+++ b/src/keys/service_keeper.cc
@@ -13,6 +13,9 @@
 /// How long vacant stripes wait for others that are being released, so that
 /// one write to the store, which all hosts then read, does for all.
 constexpr auto kGather = std::chrono::milliseconds(250);
+/// Least time between writes that raise tokens only: the grants of servers
+/// whose answers get lost go on holding meanwhile.
+constexpr auto kTokenInterval = std::chrono::milliseconds(2000);
 /// Stripes of sound owners that move at a time.
 constexpr int kMostEvened = 128;
 
@@ -26,6 +29,7 @@
   ++this->term;
   this->heard_at.clear();
   this->evened_at = now;
+  this->committed_at = now - kTokenInterval;
   for (int i = 0; i < this->map.StripeCount(); ++i) {
     auto& stripe = this->stripes[i];
     if (this->map.OwnerOf(i) == nullptr) continue;
@@ -267,7 +271,9 @@
     const auto& stripe = this->stripes[i];
     has_stale |= stripe.is_fence_stale && stripe.phase == Phase::kHeld;
   }
-  if (moves.empty() && !has_stale) return false;
+  const bool is_recent =
+      this->clock.Now() - this->committed_at < kTokenInterval;
+  if (moves.empty() && (!has_stale || is_recent)) return false;
   this->planned = this->map;
   const auto fence = this->planned.NextFence();
   for (const auto& move : moves) {
@@ -307,6 +313,7 @@
   }
   this->map = this->planned;
   this->version = version;
+  this->committed_at = now;
 }
 
 }  // namespace currantbeam
--- a/src/keys/service_keeper.h
+++ b/src/keys/service_keeper.h
@@ -133,6 +133,7 @@
   /// When each server last answered, by id, as long as it is in contact.
   std::unordered_map<ServerId, TimePoint> heard_at;
   TimePoint evened_at{};
+  TimePoint committed_at{};
   TimePoint vacant_since{};
   int term = 0;
 };
--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -156,6 +156,51 @@
   EXPECT_GT(from_fast, map.StripeCount() / 10);
 }
 
+/// Servers that reset each second connection after they took a grant, as they
+/// do for seconds when their answers get lost.
+TEST(ServiceKeeper, RaisesTokensSeldomWhileAnswersGetLost) {
+  ManualClock clock;
+  ServiceKeeper keeper(clock, GrantTiming());
+  const auto servers = MakeServers(8);
+  keeper.Load(OwnerMap(256), 0);
+  StoreVersion version = 0;
+  int commits = 0;
+  int calls = 0;
+  std::map<int, TimePoint> granted_at;
+  const auto play = [&](std::chrono::seconds length, bool loses_answers) {
+    const auto until = clock.Now() + length;
+    while (clock.Now() < until) {
+      clock.Advance(std::chrono::milliseconds(50));
+      keeper.SetServers(servers, {});
+      for (const auto& order : keeper.TakeOrders()) {
+        ASSERT_EQ(order.kind, KeyOrder::Kind::kGrant);
+        granted_at[order.stripe] = clock.Now();
+        if (loses_answers && ++calls % 2 == 0) {
+          keeper.OnContactLost(order.owner);
+          keeper.OnNotSent(order);
+        } else {
+          keeper.OnGrantReply(order, GrantReply::kAccepted);
+        }
+      }
+      if (!keeper.PlanChange()) continue;
+      ++commits;
+      keeper.OnCommitted(++version);
+    }
+  };
+  play(std::chrono::seconds(10), false);
+  commits = 0;
+  play(std::chrono::seconds(6), true);
+  EXPECT_LE(commits, 3);
+  // No key goes ungranted for as long as a hold lasts.
+  for (const auto& [stripe, at] : granted_at) {
+    EXPECT_LT(clock.Now() - at, std::chrono::milliseconds(7500)) << stripe;
+  }
+  commits = 0;
+  play(std::chrono::seconds(10), false);
+  EXPECT_LE(commits, 1);
+  EXPECT_EQ(granted_at.size(), 256U);
+}
+
 TEST(ShareLoad, GivesFastServersMostWhileThereIsLittleToDo) {
   using std::chrono::milliseconds;
   const std::vector<ServerCapacity> servers = {{4, milliseconds(50)},
