Grade by processor and link how long a host leaves the keeping to others

Change: a free lease is left to others for up to 0.8 s, by the part of half a core and of 100 Mbit/s that a host has; it was 0.5 s below 0.2 of a core. Where all hosts are alike all wait as long.

--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -2,15 +2,18 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+
 #include "core/events.h"
 
 namespace currantbeam {
 namespace {
 
-/// Hosts with a smaller part of a core leave the keeping of keys to others,
-/// if there are any, for this long.
-constexpr double kAmpleProcessor = 0.2;
-constexpr auto kWeakHostYield = std::chrono::milliseconds(500);
+/// What a host that keeps the keys of a large fleet makes use of. Hosts that
+/// have less leave the duty to others first, for up to this long.
+constexpr double kAmpleProcessor = 0.5;
+constexpr double kAmpleLinkMbps = 100;
+constexpr auto kLongestYield = std::chrono::milliseconds(800);
 constexpr auto kSweepInterval = std::chrono::milliseconds(200);
 /// A timer that is this late shows that the loop has more to do than it can.
 constexpr auto kLateLoop = std::chrono::milliseconds(50);
@@ -28,6 +31,18 @@
   return options;
 }
 
+auto Part(std::chrono::milliseconds whole, double part)
+    -> std::chrono::milliseconds {
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
+}
+
+/// @return how able a host is to keep the keys, from 0 to 1.
+auto StrengthOf(const RouterSettings& settings) -> double {
+  return std::min({settings.processor_share / kAmpleProcessor,
+                   settings.link_mbps / kAmpleLinkMbps, 1.0});
+}
+
 auto KeeperOptions(const RouterSettings& settings) -> KeyKeeper::Options {
   KeyKeeper::Options options;
   options.lease.holder =
@@ -35,19 +50,11 @@
       std::to_string(BootClock().Now().time_since_epoch().count());
   options.lease.endpoint =
       settings.peers.address + ":" + std::to_string(settings.peers.port);
-  if (settings.processor_share < kAmpleProcessor) {
-    options.lease.yield = kWeakHostYield;
-  }
+  options.lease.yield = Part(kLongestYield, 1 - StrengthOf(settings));
   options.grants = settings.grants;
   return options;
 }
 
-auto Part(std::chrono::milliseconds whole, double part)
-    -> std::chrono::milliseconds {
-  return std::chrono::milliseconds(
-      static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
-}
-
 }  // namespace
 
 RouterProcess::RouterProcess(const RouterSettings& settings, RouterPeers peers)
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -30,6 +30,7 @@
   std::chrono::milliseconds stop_grace{6000};
   RetryLimits retries;         ///< Of all hosts together.
   double processor_share = 1;  ///< Of one core, that this host has.
+  double link_mbps = 1000;     ///< Megabits a second of this host's link.
   GrantTiming grants;
   std::string log_level = "info";
 };
--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -19,7 +19,7 @@
     R"({"node":"front-1","zone":"x","ip":"10.0.0.1","portRange":[7540,7555],
         "listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81"},
         "bounds":{"graceS":6,"budgetRatio":0.2,"budgetExtra":58,"holdMaxS":5},
-        "limits":{"cpuShare":0.25,"cores":2},
+        "limits":{"cpuShare":0.25,"cores":2,"linkMbps":10},
         "platform":{"addr":"10.0.0.2:90"},"later":{"unknown":true}})";
 
 auto Replaced(std::string text, const std::string& from, const std::string& to)
@@ -35,6 +35,7 @@
   EXPECT_EQ(settings.stop_grace, milliseconds(6000));
   EXPECT_EQ(settings.grants.hold, milliseconds(5000));
   EXPECT_DOUBLE_EQ(settings.processor_share, 0.5);
+  EXPECT_DOUBLE_EQ(settings.link_mbps, 10);
 }
 
 TEST(BootSettings, NameTheFieldThatIsWrong) {
