--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -46,6 +46,33 @@
   });
 }
 
+TEST_F(Forwarding, CountsWhatItDoesAndTellsWhatItBelieves) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 3; ++i) {
+      this->fleet.Send("/safe/a", "id-" + std::to_string(i));
+    }
+    this->fleet.PutRoutes(7);
+    ASSERT_TRUE(WireFleet::Await([&] {
+      return this->fleet.Metrics().find("currantbeam_routes_version 7\n") !=
+             std::string::npos;
+    }));
+    const auto text = this->fleet.Metrics();
+    const auto has = [&](const std::string& line) {
+      return text.find(line) != std::string::npos;
+    };
+    EXPECT_TRUE(
+        has("currantbeam_requests_total{service=\"plain\","
+            "result=\"answered\"} 3\n"))
+        << text;
+    EXPECT_TRUE(
+        has("currantbeam_request_seconds_count{service=\"plain\"} 3\n"));
+    EXPECT_TRUE(has("verdict=\"ran\"}"));
+    EXPECT_TRUE(has("currantbeam_ready 1\n"));
+    EXPECT_TRUE(has("currantbeam_servers 4\n"));
+    EXPECT_TRUE(has("currantbeam_table_age_seconds{table=\"op\"}"));
+  });
+}
+
 TEST_F(Forwarding, StreamsAnswersThatAreLarge) {
   this->fleet.Run([&] {
     for (int i = 0; i < 2; ++i) {
--- a/tests/platform_wire/wire_fleet.cc
+++ b/tests/platform_wire/wire_fleet.cc
@@ -131,6 +131,13 @@
   return false;
 }
 
+auto WireFleet::Metrics() -> std::string {
+  HttpRequest request{http::verb::get, "/metrics", 11};
+  return Fetch(this->settings.metrics.address, this->settings.metrics.port,
+               std::move(request), std::chrono::milliseconds(2000))
+      .body();
+}
+
 auto WireFleet::IsReady() -> bool {
   try {
     const auto response = Fetch(
--- a/tests/platform_wire/wire_fleet.h
+++ b/tests/platform_wire/wire_fleet.h
@@ -64,6 +64,8 @@
     return this->settings.callers.port;
   }
   [[nodiscard]] auto IsReady() -> bool;
+  /// @return what the router's metrics address answers.
+  [[nodiscard]] auto Metrics() -> std::string;
   /// Waits until the condition holds.
   /// @return false if it did not within 10 s.
   static auto Await(const std::function<bool()>& condition) -> bool;
