Let each of many gateways have two requests out at a server

The bound of 18 requests a slot from all gateways together left one a gateway at 65 and 83 hosts. Requests refused for room while one is out at the owner ("in_flight":1 in the log) were the reason to look.

--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -20,7 +20,7 @@
 constexpr double kLimitPerSlot = 2.0;
 /// Requests out for each slot, from all gateways together, if each sends as
 /// many as it may: they get uneven parts of a server's requests.
-constexpr double kLimitPerSlotOfAll = 18.0;
+constexpr double kLimitPerSlotOfAll = 36.0;
 constexpr int kFailuresToEject = 3;
 constexpr auto kFirstEjection = std::chrono::milliseconds(500);
 /// Longer than the entry of a server that has gone stays.
