--- a/src/core/events.h
+++ b/src/core/events.h
@@ -24,6 +24,7 @@
 constexpr LogEvent kFailed{303, LogLevel::kWarn, "failed"};
 constexpr LogEvent kAnswerCut{304, LogLevel::kWarn, "answer-cut"};
 constexpr LogEvent kAttemptFailed{306, LogLevel::kWarn, "attempt-failed"};
+constexpr LogEvent kOwnerGone{307, LogLevel::kInfo, "owner-gone"};
 constexpr LogEvent kReplayed{305, LogLevel::kInfo, "replayed"};
 
 constexpr LogEvent kPlatformLost{400, LogLevel::kWarn, "platform-lost"};
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -202,6 +202,8 @@
     line += Quoted(*text);
   } else if (const auto* whole = std::get_if<std::int64_t>(&this->value)) {
     line += std::to_string(*whole);
+  } else if (const auto* truth = std::get_if<bool>(&this->value)) {
+    line += *truth ? "true" : "false";
   } else {
     line += nlohmann::json(std::get<double>(this->value)).dump();
   }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -25,6 +25,7 @@
  public:
   LogField(std::string_view name, std::string_view value)
       : name(name), value(value) {}
+  /// Numbers and truth values.
   template <typename Number,
             std::enable_if_t<std::is_arithmetic_v<Number>, bool> = true>
   LogField(std::string_view name, Number number)
@@ -35,11 +36,13 @@
 
  private:
   template <typename Number>
-  using Stored = std::conditional_t<std::is_floating_point_v<Number>, double,
-                                    std::int64_t>;
+  using Stored =
+      std::conditional_t<std::is_same_v<Number, bool>, bool,
+                         std::conditional_t<std::is_floating_point_v<Number>,
+                                            double, std::int64_t>>;
 
   std::string_view name;
-  std::variant<std::string_view, std::int64_t, double> value;
+  std::variant<std::string_view, std::int64_t, double, bool> value;
 };
 
 /// Starts logging to standard output.
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -146,6 +146,9 @@
                          target->entry.started == owner->started;
   if (!is_usable) {
     state.owners.AskForRead();
+    Log(events::kOwnerGone, {{"request", this->request.RequestId()},
+                             {"server", owner->id.Value()},
+                             {"is_known", target != nullptr}});
     this->Refuse("owner-gone", kNotReadyRetry, target.get());
     return nullptr;
   }
--- a/tests/core/log_test.cc
+++ b/tests/core/log_test.cc
@@ -113,6 +113,7 @@
   EXPECT_EQ(json.at("request"), "a\"b\xEF\xBF\xBD\n");
   EXPECT_EQ(json.at("sends"), 2);
   EXPECT_EQ(json.at("limit"), 0.5);
+  EXPECT_EQ(json.at("may_have_run"), false);
   EXPECT_EQ(json.at("time").get<std::string>().size(), 24U);
   EXPECT_FALSE(std::getline(lines, line)) << line;
 }
