--- a/src/store/relayed_table.cc
+++ b/src/store/relayed_table.cc
@@ -112,7 +112,8 @@
   if (deleted.size() <= std::max(kLeastDeleted, kDeletedPerRow * present)) {
     return;
   }
-  const auto middle = deleted.begin() + deleted.size() / 2;
+  const auto middle =
+      deleted.begin() + static_cast<std::ptrdiff_t>(deleted.size() / 2);
   std::nth_element(deleted.begin(), middle, deleted.end());
   this->base = std::max(this->base, *middle);
   for (auto it = this->rows.begin(); it != this->rows.end();) {
