Count a request as in hand from its first byte

It was counted only once it was read, so that the stop found nothing in hand and ended the loop with the request at its server.

Ruled out: the watch on the client's connection; the client stayed.

Change: a request counts from its first byte, and a stop lets what has just arrived run before it looks. The set of idle connections is now guarded: the two-hop gateway changes it from several loops.

Test: a body that is half sent when idle connections are closed: cut before, answered now.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -48,15 +48,12 @@
   ~Connection() override { this->watch->on_gone = nullptr; }
 
   auto Run() -> void {
-    while (this->ReadRequest()) {
+    bool is_open = true;
+    while (is_open && this->AwaitRequest()) {
+      // From its first byte on, so that a stop waits for it.
       ++this->server.in_hand;
-      this->started = false;
-      this->finished = false;
-      this->HandleOne();
-      this->watch->on_gone = nullptr;
+      is_open = this->ServeOne();
       --this->server.in_hand;
-      if (this->broken || !this->finished) break;
-      if (!this->KeepAlive()) break;
     }
     this->Close();
   }
@@ -190,8 +187,23 @@
                        "client is gone: " + result.error.message());
   }
 
+  /// Reads, handles and answers a request.
+  /// @return whether the connection may carry another one.
+  auto ServeOne() -> bool {
+    if (!this->ReadRequest()) return false;
+    this->started = false;
+    this->finished = false;
+    this->HandleOne();
+    this->watch->on_gone = nullptr;
+    return !this->broken && this->finished && this->KeepAlive();
+  }
+
+  /// Waits for the first bytes of a request.
+  auto AwaitRequest() -> bool {
+    return this->buffer.size() != 0 || this->ReadFirstBytes();
+  }
+
   auto ReadRequest() -> bool {
-    if (this->buffer.size() == 0 && !this->ReadFirstBytes()) return false;
     const auto& limits = this->server.options.limits;
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.header_bytes);
@@ -249,17 +261,17 @@
   auto ReadFirstBytes() -> bool {
     this->buffer.shrink_to_fit();
     this->Arm(this->server.options.limits.idle_timeout);
-    this->server.idle.insert(this);
+    this->server.SetIdle(this, true);
     AwaitResult result;
     try {
       result = Await([&](auto handler) {
         this->stream.async_read_some(this->buffer.prepare(kFirstRead), handler);
       });
     } catch (const LoopStopped&) {
-      this->server.idle.erase(this);
+      this->server.SetIdle(this, false);
       throw;
     }
-    this->server.idle.erase(this);
+    this->server.SetIdle(this, false);
     if (result.error) return false;
     this->buffer.commit(result.bytes);
     return true;
@@ -386,7 +398,17 @@
   this->options.limits = limits;
 }
 
+auto HttpServer::SetIdle(Connection* connection, bool is_idle) -> void {
+  const std::lock_guard lock(this->mutex);
+  if (is_idle) {
+    this->idle.insert(connection);
+  } else {
+    this->idle.erase(connection);
+  }
+}
+
 auto HttpServer::CloseIdle() -> void {
+  const std::lock_guard lock(this->mutex);
   for (auto* connection : this->idle) connection->CancelIdle();
 }
 
@@ -409,9 +431,10 @@
 
 auto HttpServer::Drain(std::chrono::milliseconds deadline) -> std::size_t {
   const auto until = std::chrono::steady_clock::now() + deadline;
-  while (this->in_hand != 0 && std::chrono::steady_clock::now() < until) {
+  // What has just arrived is counted once its fiber has run.
+  do {
     SleepFor(kDrainPoll);
-  }
+  } while (this->in_hand != 0 && std::chrono::steady_clock::now() < until);
   return this->in_hand;
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -53,16 +53,16 @@
 
   auto AcceptLoop(const std::shared_ptr<Acceptor>& acceptor) -> void;
   auto Serve(TcpSocket socket) -> void;
+  auto SetIdle(Connection* connection, bool is_idle) -> void;
 
   Options options;
   HttpHandler& handler;
   std::atomic<bool> stopping{false};
   std::atomic<bool> closing{false};
-  /// Connections that wait for a request; used by CloseIdle's loop alone.
-  std::set<Connection*> idle;
   std::atomic<std::size_t> in_hand{0};
   std::atomic<std::size_t> connections{0};
-  std::mutex mutex;  ///< Guards acceptors; taken last.
+  std::mutex mutex;            ///< Guards what follows; taken last.
+  std::set<Connection*> idle;  ///< Connections that wait for a request.
   std::vector<std::pair<FiberLoop*, std::shared_ptr<Acceptor>>> acceptors;
 };
 
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -380,6 +380,25 @@
   });
 }
 
+TEST_F(Forwarding, AnswersARequestThatIsBeingReadWhenItCloses) {
+  this->fleet.SetStopGrace(std::chrono::seconds(6));
+  this->fleet.Run([&] {
+    HttpConnection idle("127.0.0.1", this->fleet.CallersPort());
+    idle.Connect(std::chrono::seconds(1));
+    const auto answer = this->fleet.SendRaw(
+        "POST /safe/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id-1\r\n"
+        "Content-Length: 4\r\n\r\nab",
+        [&] {
+          this->fleet.StopRouter();
+          // Idle connections are closed, and nothing seems to be in hand.
+          EXPECT_TRUE(WireFleet::Await([&] { return idle.IsStale(); }));
+        },
+        "cd");
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(this->fleet.RunsOf("id-1"), 1);
+  });
+}
+
 TEST_F(Forwarding, RefusesRequestsThatCouldBeReadInTwoWays) {
   this->fleet.Run([&] {
     const std::vector<std::string> heads = {
--- a/tests/platform_wire/wire_fleet.cc
+++ b/tests/platform_wire/wire_fleet.cc
@@ -170,7 +170,9 @@
   }
 }
 
-auto WireFleet::SendRaw(const std::string& bytes) -> std::string {
+auto WireFleet::SendRaw(const std::string& bytes,
+                        const std::function<void()>& between,
+                        const std::string& rest) -> std::string {
   namespace asio = boost::asio;
   TcpSocket socket(this->loop.Io().get_executor());
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
@@ -180,6 +182,10 @@
   currantbeam::Await([&](auto handler) {
     asio::async_write(socket, asio::buffer(bytes), handler);
   });
+  between();
+  currantbeam::Await([&](auto handler) {
+    asio::async_write(socket, asio::buffer(rest), handler);
+  });
   std::string answer;
   std::array<char, 1024> part{};
   while (true) {
--- a/tests/platform_wire/wire_fleet.h
+++ b/tests/platform_wire/wire_fleet.h
@@ -59,7 +59,14 @@
             std::chrono::milliseconds deadline =
                 std::chrono::milliseconds(2000)) -> HttpResponse;
   /// Sends bytes to the router and returns all it answers until it closes.
-  auto SendRaw(const std::string& bytes) -> std::string;
+  /// @param between  done before `rest` is sent.
+  auto SendRaw(
+      const std::string& bytes, const std::function<void()>& between = [] {},
+      const std::string& rest = "") -> std::string;
+  /// How long the router may take to stop; call before Run.
+  auto SetStopGrace(std::chrono::milliseconds grace) -> void {
+    this->settings.stop_grace = grace;
+  }
   [[nodiscard]] auto CallersPort() const -> std::uint16_t {
     return this->settings.callers.port;
   }
