Write CBOR, answers and the tests' recording store once

Seven places turned JSON into CBOR text and back by the same four lines, two wrote an owner's form, two sent an answer to a caller that may have left, and two tests wrapped the same store. There is one of each now (core/cbor.h, KeyOwner's conversions, RequestContext::Answer, tests/store/recording_store.h).

Mended on the way: a failed read of owners at the keeper was logged as a lost report (804), it is 802; a server's attempts were looked up in an ordered map for each request, and beyond 1,000 servers the one that sorts first was forgotten, while the comment said that servers that have gone are; later ones are counted together as "other" now. A log whose reader has gone isn't written to any more; SIGPIPE was ignored before, but for what is logged before the process is set up.

Tests added: memory of deletions in a relayed table is bounded and a host that is behind it is told the whole table (no test reached that branch); the bound on servers; the metrics port is the deploy file's.

--- a/src/core/log_output.cc
+++ b/src/core/log_output.cc
@@ -25,7 +25,7 @@
   while (written < this->pending.size()) {
     // A pipe that is ready takes this much at least without waiting.
     pollfd ready{this->descriptor, POLLOUT, 0};
-    if (::poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) break;
+    if (::poll(&ready, 1, 0) <= 0 || ready.revents != POLLOUT) break;
     const auto part =
         std::min<std::size_t>(this->pending.size() - written, PIPE_BUF);
     const auto done =
--- a/src/keys/load_report.cc
+++ b/src/keys/load_report.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <functional>
-#include <nlohmann/json.hpp>
+
+#include "core/cbor.h"
 
 namespace currantbeam {
 namespace {
@@ -62,17 +63,15 @@
   for (const auto& [name, load] : this->services) {
     services[name.Value()] = EncodeService(load);
   }
-  const auto bytes = nlohmann::json::to_cbor({{"h", this->host.Value()},
-                                              {"e", this->endpoint},
-                                              {"i", this->interval.count()},
-                                              {"s", services},
-                                              {"t", this->tables}});
-  return {bytes.begin(), bytes.end()};
+  return ToCbor({{"h", this->host.Value()},
+                 {"e", this->endpoint},
+                 {"i", this->interval.count()},
+                 {"s", services},
+                 {"t", this->tables}});
 }
 
 auto LoadReport::Decode(const std::string& text) -> LoadReport {
-  try {
-    const auto json = nlohmann::json::from_cbor(text);
+  return FromCbor(text, "load report", [](const nlohmann::json& json) {
     LoadReport report;
     report.host = HostId(json.at("h").get<std::string>());
     report.endpoint = json.at("e").get<std::string>();
@@ -82,9 +81,7 @@
     }
     report.tables = json.at("t").get<std::map<std::string, StoreVersion>>();
     return report;
-  } catch (const nlohmann::json::exception& error) {
-    throw InputError(std::string("load report: ") + error.what());
-  }
+  });
 }
 
 auto LoadRecorder::OnRequest(const ServiceName& service, int stripe) -> void {
--- a/src/keys/owner_map.cc
+++ b/src/keys/owner_map.cc
@@ -1,10 +1,22 @@
 #include "keys/owner_map.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+
+#include "core/cbor.h"
 
 namespace currantbeam {
 
+auto to_json(nlohmann::json& json, const KeyOwner& owner) -> void {
+  json = {owner.id, owner.started.count(), owner.address, owner.port};
+}
+
+auto from_json(const nlohmann::json& json, KeyOwner& owner) -> void {
+  owner.id = json.at(0).get<ServerId>();
+  owner.started = std::chrono::milliseconds(json.at(1).get<std::int64_t>());
+  owner.address = json.at(2).get<std::string>();
+  owner.port = json.at(3).get<std::uint16_t>();
+}
+
 auto OwnerMap::OwnerOf(int stripe) const -> const KeyOwner* {
   const auto index = this->stripes[stripe].owner;
   return index == kNobody ? nullptr : &this->owners[index];
@@ -44,10 +56,7 @@
   OwnerMap compact = *this;
   compact.DropUnusedOwners();
   auto owners = nlohmann::json::array();
-  for (const auto& owner : compact.owners) {
-    owners.push_back(
-        {owner.id, owner.started.count(), owner.address, owner.port});
-  }
+  for (const auto& owner : compact.owners) owners.push_back(owner);
   std::vector<int> indexes;
   std::vector<FencingToken> fences;
   for (const auto& stripe : compact.stripes) {
@@ -58,13 +67,11 @@
                                {"stripes", indexes},
                                {"fences", fences},
                                {"last", compact.last_fence}};
-  const auto bytes = nlohmann::json::to_cbor(json);
-  return {bytes.begin(), bytes.end()};
+  return ToCbor(json);
 }
 
 auto OwnerMap::Decode(const std::string& text) -> OwnerMap {
-  try {
-    const auto json = nlohmann::json::from_cbor(text);
+  return FromCbor(text, "owner map", [](const nlohmann::json& json) {
     const auto& indexes = json.at("stripes");
     const auto& fences = json.at("fences");
     const auto stripe_count = static_cast<int>(indexes.size());
@@ -74,10 +81,7 @@
     }
     OwnerMap map(stripe_count);
     for (const auto& owner : json.at("owners")) {
-      map.owners.push_back(
-          {owner.at(0).get<ServerId>(),
-           std::chrono::milliseconds(owner.at(1).get<std::int64_t>()),
-           owner.at(2).get<std::string>(), owner.at(3).get<std::uint16_t>()});
+      map.owners.push_back(owner.get<KeyOwner>());
     }
     const auto count = static_cast<int>(map.owners.size());
     for (int i = 0; i < stripe_count; ++i) {
@@ -89,9 +93,7 @@
     }
     map.last_fence = json.at("last").get<FencingToken>();
     return map;
-  } catch (const nlohmann::json::exception& error) {
-    throw InputError(std::string("owner map: ") + error.what());
-  }
+  });
 }
 
 }  // namespace currantbeam
--- a/src/keys/owner_map.h
+++ b/src/keys/owner_map.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,10 @@
   }
 };
 
+// The names under which the JSON library looks for conversions.
+auto to_json(nlohmann::json& json, const KeyOwner& owner) -> void;
+auto from_json(const nlohmann::json& json, KeyOwner& owner) -> void;
+
 /// Which server owns each stripe of a service's keys, and under which fencing
 /// token. A stripe changes hands with a higher token only.
 class OwnerMap {
--- a/src/keys/owner_update.cc
+++ b/src/keys/owner_update.cc
@@ -1,22 +1,10 @@
 #include "keys/owner_update.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
-namespace currantbeam {
-namespace {
-
-auto EncodeOwner(const KeyOwner& owner) -> nlohmann::json {
-  return {owner.id, owner.started.count(), owner.address, owner.port};
-}
+#include "core/cbor.h"
 
-auto DecodeOwner(const nlohmann::json& json) -> KeyOwner {
-  return {json.at(0).get<ServerId>(),
-          std::chrono::milliseconds(json.at(1).get<std::int64_t>()),
-          json.at(2).get<std::string>(), json.at(3).get<std::uint16_t>()};
-}
-
-}  // namespace
+namespace currantbeam {
 
 auto OwnerUpdate::Between(const OwnerMap& before, const OwnerMap& after)
     -> std::vector<Change> {
@@ -38,24 +26,23 @@
     changes.push_back({change.stripe, it - owners.begin(), change.fence});
   }
   auto list = nlohmann::json::array();
-  for (const auto& owner : owners) list.push_back(EncodeOwner(owner));
-  const auto bytes = nlohmann::json::to_cbor({{"s", this->service.Value()},
-                                              {"b", this->base},
-                                              {"v", this->version},
-                                              {"o", list},
-                                              {"c", changes}});
-  return {bytes.begin(), bytes.end()};
+  for (const auto& owner : owners) list.push_back(owner);
+  return ToCbor({{"s", this->service.Value()},
+                 {"b", this->base},
+                 {"v", this->version},
+                 {"o", list},
+                 {"c", changes}});
 }
 
 auto OwnerUpdate::Decode(const std::string& text) -> OwnerUpdate {
-  try {
-    const auto json = nlohmann::json::from_cbor(text);
+  return FromCbor(text, "owner update", [](const nlohmann::json& json) {
     OwnerUpdate update;
     update.service = json.at("s").get<ServiceName>();
     update.base = json.at("b").get<StoreVersion>();
     update.version = json.at("v").get<StoreVersion>();
     std::vector<KeyOwner> owners;
-    for (const auto& owner : json.at("o")) owners.push_back(DecodeOwner(owner));
+    for (const auto& owner : json.at("o"))
+      owners.push_back(owner.get<KeyOwner>());
     for (const auto& change : json.at("c")) {
       const auto index = change.at(1).get<std::size_t>();
       if (index >= owners.size()) throw InputError("owner update: no owner");
@@ -63,9 +50,7 @@
                                 change.at(2).get<FencingToken>()});
     }
     return update;
-  } catch (const nlohmann::json::exception& error) {
-    throw InputError(std::string("owner update: ") + error.what());
-  }
+  });
 }
 
 }  // namespace currantbeam
--- a/src/keys/owner_versions.cc
+++ b/src/keys/owner_versions.cc
@@ -1,6 +1,6 @@
 #include "keys/owner_versions.h"
 
-#include <nlohmann/json.hpp>
+#include "core/cbor.h"
 
 namespace currantbeam {
 
@@ -9,21 +9,18 @@
   for (const auto& [service, version] : versions) {
     json.push_back({service.Value(), version});
   }
-  const auto bytes = nlohmann::json::to_cbor(json);
-  return {bytes.begin(), bytes.end()};
+  return ToCbor(json);
 }
 
 auto DecodeVersions(const std::string& text) -> OwnerVersions {
-  try {
+  return FromCbor(text, "versions of owners", [](const nlohmann::json& json) {
     OwnerVersions versions;
-    for (const auto& one : nlohmann::json::from_cbor(text)) {
+    for (const auto& one : json) {
       versions.emplace(one.at(0).get<ServiceName>(),
                        one.at(1).get<StoreVersion>());
     }
     return versions;
-  } catch (const nlohmann::json::exception& error) {
-    throw InputError(std::string("versions of owners: ") + error.what());
-  }
+  });
 }
 
 }  // namespace currantbeam
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -243,7 +243,7 @@
   Log(events::kRefused, fields);
   this->request.state.metrics.OnRefusal(reason);
   this->Finish(RequestResult::kRefused);
-  this->Answer(std::move(response));
+  this->request.Answer(std::move(response));
 }
 
 auto ForwardedRequest::Fail(http::status status, std::string_view reason)
@@ -260,16 +260,7 @@
                         {"sends", this->sends},
                         {"took_us", took.count()}});
   this->Finish(RequestResult::kFailed);
-  this->Answer(std::move(response));
-}
-
-auto ForwardedRequest::Answer(HttpResponse response) -> void {
-  this->request.exchange.WatchClient(nullptr);
-  try {
-    this->request.exchange.Send(std::move(response));
-  } catch (const RequestError&) {
-    this->request.exchange.Abort();
-  }
+  this->request.Answer(std::move(response));
 }
 
 auto ForwardedRequest::Finish(RequestResult result) -> void {
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -41,7 +41,6 @@
   auto Refuse(std::string_view reason, std::chrono::milliseconds retry_after,
               const BackendTarget* target = nullptr) -> void;
   auto Fail(http::status status, std::string_view reason) -> void;
-  auto Answer(HttpResponse response) -> void;
   /// Notes how the request ended, for the metrics.
   auto Finish(RequestResult result) -> void;
   auto LogAnswered(const BackendTarget& target, unsigned status) const -> void;
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -170,7 +170,7 @@
     this->TakeOwners(TableNews::Decode(response.body()).rows);
     return true;
   } catch (const Error& error) {
-    Log(events::kReportLost,
+    Log(events::kOwnersUnread,
         {{"keeper", ToText(endpoint)}, {"error", error.what()}});
   }
   return false;
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -43,6 +43,15 @@
     if (!number || *number < 0 || *number >= kKeyCount) return std::nullopt;
     return static_cast<int>(*number);
   }
+  /// Answers the caller, if it is still there.
+  auto Answer(HttpResponse response) const -> void {
+    this->exchange.WatchClient(nullptr);
+    try {
+      this->exchange.Send(std::move(response));
+    } catch (const RequestError&) {
+      this->exchange.Abort();
+    }
+  }
   [[nodiscard]] auto RequestId() const -> std::string_view {
     return ToView(this->exchange.Request()[this->state.headers.request_id]);
   }
--- a/src/router/request_metrics.cc
+++ b/src/router/request_metrics.cc
@@ -1,12 +1,11 @@
 #include "router/request_metrics.h"
 
-#include "router/server_attempt.h"
-
 namespace currantbeam {
 namespace {
 
-/// Servers that are told apart; beyond, the one that sorts first is dropped.
+/// Servers that are told apart; those that come later are counted together.
 constexpr std::size_t kMostServers = 1000;
+constexpr const char* kOtherServers = "other";
 
 auto ToString(RequestResult result) -> std::string {
   switch (result) {
@@ -67,12 +66,14 @@
 
 auto RequestMetrics::OnAttempt(const ServiceName& service,
                                const ServerId& server, AttemptEnd end) -> void {
-  auto& attempts = this->servers[server];
-  attempts.service = service;
-  ++attempts.ends[end];
-  if (this->servers.size() > kMostServers) {
-    this->servers.erase(this->servers.begin());
+  auto it = this->servers.find(server);
+  if (it == this->servers.end()) {
+    const bool has_room = this->servers.size() < kMostServers;
+    const auto id = has_room ? server : ServerId(kOtherServers);
+    const auto name = has_room ? service : ServiceName(kOtherServers);
+    it = this->servers.try_emplace(id, Server{name, {}}).first;
   }
+  ++it->second.ends[static_cast<std::size_t>(end)];
 }
 
 auto RequestMetrics::AppendTo(std::string& text) const -> void {
@@ -92,11 +93,13 @@
   }
   text += "# TYPE currantbeam_attempts_total counter\n";
   for (const auto& [server, attempts] : this->servers) {
-    for (const auto& [end, count] : attempts.ends) {
+    for (std::size_t end = 0; end < attempts.ends.size(); ++end) {
+      const auto count = attempts.ends[end];
+      if (count == 0) continue;
       AppendCount(text, "currantbeam_attempts_total",
                   Label("service", attempts.service.Value()) + "," +
                       Label("server", server.Value()) + "," +
-                      Label("verdict", ToString(end)),
+                      Label("verdict", ToString(static_cast<AttemptEnd>(end))),
                   count);
     }
   }
--- a/src/router/request_metrics.h
+++ b/src/router/request_metrics.h
@@ -1,16 +1,17 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 #include "metrics/metrics.h"
+#include "router/attempt_end.h"
 
 namespace currantbeam {
 
-enum class AttemptEnd;
-
 /// How a request ended, as its caller sees it.
 enum class RequestResult {
   kAnswered,   ///< The caller got the server's answer, at least its head.
@@ -36,15 +37,15 @@
     std::map<RequestResult, std::uint64_t> results;
     LatencyHistogram latency;
   };
-  /// One server's attempts; servers that have gone are dropped in time.
   struct Server {
     ServiceName service;
-    std::map<AttemptEnd, std::uint64_t> ends;
+    std::array<std::uint64_t, kAttemptEnds>
+        ends{};  ///< Attempts by AttemptEnd.
   };
 
   std::map<ServiceName, Service> services;
   std::map<std::string, std::uint64_t, std::less<>> refusals;
-  std::map<ServerId, Server> servers;
+  std::unordered_map<ServerId, Server> servers;
 };
 
 }  // namespace currantbeam
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -191,12 +191,7 @@
   response.result(this->status);
   CopyEndToEnd(connection.Head(), response);
   response.body() = std::move(body);
-  this->request.exchange.WatchClient(nullptr);
-  try {
-    this->request.exchange.Send(std::move(response));
-  } catch (const RequestError&) {
-    this->request.exchange.Abort();
-  }
+  this->request.Answer(std::move(response));
   return AttemptEnd::kAnswered;
 }
 
--- a/src/router/server_attempt.h
+++ b/src/router/server_attempt.h
@@ -2,19 +2,11 @@
 
 #include <string>
 
+#include "router/attempt_end.h"
 #include "router/request_context.h"
 
 namespace currantbeam {
 
-/// How an attempt at a server ended.
-enum class AttemptEnd {
-  kAnswered,    ///< The caller has its answer, or it broke off midway.
-  kNotRun,      ///< The server cannot have run the request.
-  kWrongOwner,  ///< The server does not hold the key; it did not run it.
-  kMayHaveRun,
-  kClientGone,
-};
-
 /// One attempt to have a backend server run a request; delivers the server's
 /// answer to the caller.
 class ServerAttempt {
--- a/tests/core/log_test.cc
+++ b/tests/core/log_test.cc
@@ -58,6 +58,10 @@
   auto operator=(const Pipe&) -> Pipe& = delete;
 
   [[nodiscard]] auto Writer() const -> int { return this->ends[1]; }
+  auto CloseReader() -> void {
+    ::close(this->ends[0]);
+    this->ends[0] = -1;
+  }
   auto Read(std::size_t most) -> std::string {
     std::string text(most, '\0');
     const auto got = ::read(this->ends[0], text.data(), most);
@@ -92,6 +96,16 @@
   EXPECT_EQ(output.Pending(), 0U);
 }
 
+TEST(LogOutput, OutlivesItsReader) {
+  Pipe pipe;
+  LogOutput output(pipe.Writer());
+  pipe.CloseReader();
+  // A write would end the process by a signal.
+  ASSERT_TRUE(output.Add("line\n"));
+  output.Flush();
+  EXPECT_EQ(output.Pending(), 5U);
+}
+
 TEST(Log, WritesAJsonObjectALine) {
   testing::internal::CaptureStdout();
   InitLogging("program", "host-1", "info");
--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -38,6 +38,16 @@
   EXPECT_DOUBLE_EQ(settings.link_mbps, 10);
 }
 
+TEST(BootSettings, ServeMetricsWhereTheDeployFileSays) {
+  std::ifstream file(std::string(CURRANTBEAM_SOURCE_DIR) +
+                     "/deploy/system.toml");
+  std::ostringstream text;
+  text << file.rdbuf();
+  const auto port = DecodeBootSettings(kSettings).metrics.port;
+  EXPECT_NE(text.str().find("metrics = \"" + std::to_string(port) + "/"),
+            std::string::npos);
+}
+
 TEST(BootSettings, NameTheFieldThatIsWrong) {
   const auto message = [](const std::string& text) -> std::string {
     try {
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -131,6 +131,23 @@
   EXPECT_EQ(directory.Find(ServerId("a"))->load.InFlight(), 0);
 }
 
+TEST(RequestMetrics, CountsServersBeyondItsBoundTogether) {
+  RequestMetrics metrics;
+  for (int i = 0; i < 1003; ++i) {
+    const ServerId server("i-" + std::to_string(i));
+    metrics.OnAttempt(ServiceName("s"), server, AttemptEnd::kNotRun);
+  }
+  metrics.OnAttempt(ServiceName("s"), ServerId("i-0"), AttemptEnd::kNotRun);
+  std::string text;
+  metrics.AppendTo(text);
+  const auto has = [&](const std::string& line) {
+    return text.find(line) != std::string::npos;
+  };
+  EXPECT_TRUE(has(R"(service="s",server="i-0",verdict="not_run"} 2)"));
+  EXPECT_TRUE(has(R"(service="other",server="other",verdict="not_run"} 3)"));
+  EXPECT_FALSE(has(R"(server="i-1001")"));
+}
+
 TEST(BackendDirectory, GivesNoWorkToServersThatDrainOrHaveGone) {
   ManualClock clock;
   BackendDirectory directory(clock);
--- /dev/null
+++ b/tests/store/recording_store.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "store/store.h"
+
+namespace currantbeam {
+
+/// Passes calls on to a store and notes what was asked of it.
+class RecordingStore : public StoreClient {
+ public:
+  explicit RecordingStore(MemoryStore& store) : store(store) {}
+
+  auto Read(const std::string& table, const std::string& partition)
+      -> RowBatch override {
+    ++this->reads;
+    return this->store.Read(table, partition);
+  }
+  auto Follow(const std::string& table, StoreVersion after,
+              std::chrono::milliseconds wait) -> RowBatch override {
+    ++this->reads;
+    this->last_wait = wait;
+    return this->store.Follow(table, after, wait);
+  }
+  auto Write(const StoreWrite& write) -> WriteResult override {
+    return this->store.Write(write);
+  }
+
+  int reads = 0;  ///< Calls that read or follow.
+  std::chrono::milliseconds last_wait{0};
+
+ private:
+  MemoryStore& store;
+};
+
+}  // namespace currantbeam
--- a/tests/store/relayed_store_test.cc
+++ b/tests/store/relayed_store_test.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 
+#include "store/recording_store.h"
 #include "store/store.h"
 
 namespace currantbeam {
@@ -13,30 +14,6 @@
 
 const char* const kTable = "t";
 
-/// Counts the calls that reach a store.
-class CountingStore : public StoreClient {
- public:
-  explicit CountingStore(MemoryStore& store) : store(store) {}
-  auto Read(const std::string& table, const std::string& partition)
-      -> RowBatch override {
-    ++this->calls;
-    return this->store.Read(table, partition);
-  }
-  auto Follow(const std::string& table, StoreVersion after, milliseconds wait)
-      -> RowBatch override {
-    ++this->calls;
-    return this->store.Follow(table, after, wait);
-  }
-  auto Write(const StoreWrite& write) -> WriteResult override {
-    return this->store.Write(write);
-  }
-
-  int calls = 0;
-
- private:
-  MemoryStore& store;
-};
-
 /// Lets the test's clock pass instead of waiting.
 class UnwaitingStore : public RelayedStore {
  public:
@@ -86,7 +63,7 @@
     this->store.OnNews(std::move(news), clock.Now());
   }
 
-  CountingStore direct;
+  RecordingStore direct;
   UnwaitingStore store;
   Recorder recorder;
   TableFollower follower{store, Options(), recorder};
@@ -121,7 +98,7 @@
   this->other.Hear(this->leader, this->clock);
   this->other.Step();
   EXPECT_EQ(this->other.recorder.rows, this->leader.recorder.rows);
-  EXPECT_EQ(this->other.direct.calls, 0);
+  EXPECT_EQ(this->other.direct.reads, 0);
 }
 
 TEST_F(RelayedStoreTest, AsksTheStoreOnceTheLeaderIsSilentForTooLong) {
@@ -133,7 +110,7 @@
   const auto silent_since = this->clock.Now();
   this->other.Step();
   EXPECT_EQ(this->other.recorder.rows.at("a"), "2");
-  EXPECT_EQ(this->other.direct.calls, 1);
+  EXPECT_EQ(this->other.direct.reads, 1);
   // A change has to be in force two seconds after it was made.
   EXPECT_LT(this->clock.Now() - silent_since, milliseconds(1500));
 }
@@ -146,7 +123,7 @@
   const auto cut_at = this->clock.Now();
   this->memory.Put({kTable, "", "a"}, "2");
   // The leader answers reports, and hears nothing of the store.
-  for (int i = 0; i < 4 && this->other.direct.calls == 0; ++i) {
+  for (int i = 0; i < 4 && this->other.direct.reads == 0; ++i) {
     this->clock.Advance(milliseconds(500));
     this->other.Hear(this->leader, this->clock);
   }
@@ -155,6 +132,35 @@
   EXPECT_LE(this->clock.Now() - cut_at, milliseconds(2000));
 }
 
+TEST_F(RelayedStoreTest,
+       RemembersDeletionsForAWhileAndTellsTheWholeTableAfter) {
+  this->memory.Put({kTable, "", "kept"}, "1");
+  this->memory.Put({kTable, "", "dropped"}, "1");
+  this->leader.Step();
+  this->other.Hear(this->leader, this->clock);
+  this->other.Step();
+  const auto known = this->other.store.Versions();
+  this->memory.Remove({kTable, "", "dropped"});
+  for (int i = 0; i < 1000; ++i) {
+    const RowName name = {kTable, "", "passing-" + std::to_string(i)};
+    this->memory.Put(name, "1");
+    this->memory.Remove(name);
+    this->leader.Step();
+  }
+  const auto news = this->leader.store.NewsSince(known);
+  ASSERT_EQ(news.size(), 1U);
+  EXPECT_TRUE(news[0].is_whole);
+  EXPECT_EQ(news[0].rows.size(), 1U);
+  // A host that is only a little behind is told of few rows.
+  auto recent = this->leader.store.Versions();
+  recent.at(kTable) -= 10;
+  EXPECT_FALSE(this->leader.store.NewsSince(recent)[0].is_whole);
+  this->other.Hear(this->leader, this->clock);
+  for (int i = 0; i < 3; ++i) this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows, this->leader.recorder.rows);
+  EXPECT_EQ(this->other.recorder.rows.size(), 1U);
+}
+
 TEST_F(RelayedStoreTest, StartsFromTheStoreIfNobodyLeads) {
   this->memory.Put({kTable, "", "a"}, "1");
   this->other.Step();
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -3,6 +3,7 @@
 
 #include <map>
 
+#include "store/recording_store.h"
 #include "store/store.h"
 
 namespace currantbeam {
@@ -104,33 +105,10 @@
   EXPECT_TRUE(this->recorder.was_reachable_at_removal);
 }
 
-/// Notes how long the store may hold back its answers.
-class WaitRecorder : public StoreClient {
- public:
-  explicit WaitRecorder(MemoryStore& store) : store(store) {}
-  auto Read(const std::string& table, const std::string& partition)
-      -> RowBatch override {
-    return this->store.Read(table, partition);
-  }
-  auto Follow(const std::string& table, StoreVersion after,
-              std::chrono::milliseconds wait) -> RowBatch override {
-    this->last_wait = wait;
-    return this->store.Follow(table, after, wait);
-  }
-  auto Write(const StoreWrite& write) -> WriteResult override {
-    return this->store.Write(write);
-  }
-
-  std::chrono::milliseconds last_wait{0};
-
- private:
-  MemoryStore& store;
-};
-
 TEST(TableFollower, DoesNotWaitLongOnAStoreThatDidNotAnswer) {
   ManualClock clock;
   MemoryStore memory(clock);
-  WaitRecorder store(memory);
+  RecordingStore store(memory);
   Recorder recorder;
   TableFollower follower(store, Options(), recorder);
   for (int i = 0; i < 2; ++i) follower.Step();
