Test each guard of the relayed table by itself

Taking a guard away left all tests green for three of them: an older whole table than was known, one from a leader that has lost the store for a host that starts, and a host that knows nothing told changes only.

--- a/tests/store/relayed_store_test.cc
+++ b/tests/store/relayed_store_test.cc
@@ -193,6 +193,47 @@
   EXPECT_EQ(this->other.recorder.rows.size(), 3U);
 }
 
+TEST_F(RelayedStoreTest, TakesNoTableOlderThanWhatItKnew) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->leader.Step();
+  this->other.Step();
+  this->memory.Put({kTable, "", "b"}, "1");
+  this->other.Step();
+  this->memory.Put({kTable, "", "c"}, "1");
+  this->memory.DropHistory();
+  this->other.Step();
+  // The history is lost, so that the whole table is asked for.
+  this->other.store.meanwhile = [&] {
+    this->other.Hear(this->leader, this->clock);
+  };
+  this->other.Step();
+  EXPECT_FALSE(this->other.recorder.has_gone_back);
+  EXPECT_EQ(this->other.recorder.rows.size(), 3U);
+}
+
+TEST_F(RelayedStoreTest, StartsFromTheStoreIfTheLeaderHasLostIt) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->leader.Step();
+  this->clock.Advance(std::chrono::seconds(3));
+  this->memory.Put({kTable, "", "a"}, "2");
+  this->other.store.meanwhile = [&] {
+    this->other.Hear(this->leader, this->clock);
+  };
+  this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows.at("a"), "2");
+}
+
+TEST_F(RelayedStoreTest, TellsAHostThatKnowsNothingTheWholeTable) {
+  // The leader has known the table since it was empty.
+  this->leader.Step();
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->leader.Step();
+  this->other.Hear(this->leader, this->clock);
+  this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows.size(), 1U);
+  EXPECT_EQ(this->other.direct.reads, 0);
+}
+
 TEST_F(RelayedStoreTest, ForgetsATableHeardBeforeTheStoreToldMore) {
   this->memory.Put({kTable, "", "a"}, "1");
   this->other.Step();
