--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 
--- a/src/keys/owner_update.cc
+++ b/src/keys/owner_update.cc
@@ -41,8 +41,9 @@
     update.base = json.at("b").get<StoreVersion>();
     update.version = json.at("v").get<StoreVersion>();
     std::vector<KeyOwner> owners;
-    for (const auto& owner : json.at("o"))
+    for (const auto& owner : json.at("o")) {
       owners.push_back(owner.get<KeyOwner>());
+    }
     for (const auto& change : json.at("c")) {
       const auto index = change.at(1).get<std::size_t>();
       if (index >= owners.size()) throw InputError("owner update: no owner");
