Judge servers by a quantile of their newest answers; log a request's key

The keeper's estimate of a server's speed started at its first answer and moved by a few per cent with each further one; a server whose first answer was to a cheap request (2 to 9 ms against 450) still looked a hundred times as fast after 45 answers and got up to 82 times an even part. Change: a quantile of the newest 64 answers, pulled to the mean of all servers by 16 answers' weight; the load is dealt in 16 pieces a server; the key is in the lines of routed and refused requests.

--- a/src/keys/load_share.cc
+++ b/src/keys/load_share.cc
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <queue>
+#include <utility>
 
 namespace currantbeam {
 namespace {
 
-/// Pieces in which the load is dealt out.
-constexpr int kPieces = 400;
+/// Pieces in which the load is dealt out, at the least, and for each server.
+constexpr int kLeastPieces = 400;
+constexpr int kPiecesPerServer = 16;
 /// Beyond this utilisation the estimate goes on as a steep line.
 constexpr double kFull = 0.9;
 constexpr double kOverloadSlope = 100;
@@ -39,19 +43,22 @@
   const auto count = servers.size();
   if (count == 0) return {};
   const double floor = kLeastPart / static_cast<double>(count);
-  const double piece = rate * (1 - kLeastPart) / kPieces;
+  const int pieces =
+      std::max(kLeastPieces, kPiecesPerServer * static_cast<int>(count));
+  const double piece = rate * (1 - kLeastPart) / pieces;
   std::vector<double> rates(count, rate * floor);
-  std::vector<double> next;
-  next.reserve(count);
-  const auto marginal = [&](std::size_t i) {
-    return Cost(servers[i], rates[i] + piece) - Cost(servers[i], rates[i]);
+  using Next = std::pair<double, std::size_t>;
+  std::priority_queue<Next, std::vector<Next>, std::greater<>> next;
+  const auto add = [&](std::size_t i) {
+    next.emplace(
+        Cost(servers[i], rates[i] + piece) - Cost(servers[i], rates[i]), i);
   };
-  for (std::size_t i = 0; i < count; ++i) next.push_back(marginal(i));
-  for (int n = 0; n < kPieces; ++n) {
-    const auto least = std::min_element(next.begin(), next.end());
-    const auto i = static_cast<std::size_t>(least - next.begin());
+  for (std::size_t i = 0; i < count; ++i) add(i);
+  for (int n = 0; n < pieces; ++n) {
+    const auto i = next.top().second;
+    next.pop();
     rates[i] += piece;
-    *least = marginal(i);
+    add(i);
   }
   const double sum = rate > 0 ? rate : 1;
   const double even = 1.0 / static_cast<double>(count);
--- a/src/keys/load_view.cc
+++ b/src/keys/load_view.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <numeric>
+#include <unordered_set>
 
 namespace currantbeam {
 namespace {
@@ -10,12 +12,12 @@
 /// The quantile of latencies that speeds go by: low, as waiting is no part of
 /// a server's speed.
 constexpr double kQuantile = 0.3;
-/// A sample moves the estimate by this part, the first ones by more.
-constexpr double kQuantileStep = 0.03;
-constexpr double kFirstQuantileStep = 0.3;
 /// A typical service time, in that quantile.
 constexpr double kMeanPerQuantile = 1.8;
 constexpr int kLeastSamples = 40;
+/// The mean of all servers counts as this many answers of each, so that chance
+/// makes no server look fast.
+constexpr int kMeanSamples = 16;
 /// Parts are made for at least this utilisation, so that they change little
 /// while the load swings below it.
 constexpr double kLeastUtilisation = 0.5;
@@ -57,16 +59,8 @@
   }
   this->other_arriving += load.other_requests;
   for (const auto& [id, latencies] : load.latencies_ms) {
-    auto& speed = this->speeds[id];
-    for (const int latency : latencies) {
-      const double sample = std::max(latency, 1);
-      if (speed.samples++ == 0) speed.latency_ms = sample;
-      const double step =
-          std::max(kQuantileStep, kFirstQuantileStep / speed.samples);
-      const bool is_below = sample < speed.latency_ms;
-      speed.latency_ms *=
-          is_below ? 1 - step * (1 - kQuantile) : 1 + step * kQuantile;
-    }
+    auto& sample = this->latencies[id];
+    for (const int latency : latencies) sample.Add(latency);
   }
 }
 
@@ -125,6 +119,7 @@
       this->parts = std::move(parts);
     }
     this->weighed = std::move(ids);
+    this->ForgetOthers();
     this->weighed_at = now;
   }
   for (std::size_t i = 0; i < this->parts.size(); ++i) {
@@ -132,16 +127,30 @@
   }
 }
 
+auto LoadView::ForgetOthers() -> void {
+  if (this->latencies.size() <= 2 * this->weighed.size()) return;
+  const std::unordered_set<ServerId> kept(this->weighed.begin(),
+                                          this->weighed.end());
+  for (auto it = this->latencies.begin(); it != this->latencies.end();) {
+    it = kept.count(it->first) != 0 ? std::next(it) : this->latencies.erase(it);
+  }
+}
+
+auto LoadView::LatencyOf(const ServerId& id) const -> std::optional<double> {
+  const auto it = this->latencies.find(id);
+  if (it == this->latencies.end()) return std::nullopt;
+  if (it->second.Count() < kLeastSamples) return std::nullopt;
+  return it->second.Quantile(kQuantile);
+}
+
 auto LoadView::MeanLatency(const std::vector<PlannedServer>& servers) const
     -> double {
   double sum = 0;
   int known = 0;
   for (const auto& server : servers) {
-    const auto it = this->speeds.find(server.owner.id);
-    if (it == this->speeds.end() || it->second.samples < kLeastSamples) {
-      continue;
-    }
-    sum += it->second.latency_ms;
+    const auto latency = this->LatencyOf(server.owner.id);
+    if (!latency) continue;
+    sum += *latency;
     ++known;
   }
   // Until most are known, a server that seems slow may be like the others.
@@ -152,12 +161,14 @@
 
 auto LoadView::CapacityOf(const ServerId& id, int slots,
                           double mean_latency_ms) const -> ServerCapacity {
-  const auto it = this->speeds.find(id);
-  const bool is_known =
-      it != this->speeds.end() && it->second.samples >= kLeastSamples;
-  const double latency = is_known ? it->second.latency_ms : mean_latency_ms;
-  return {slots, Duration(static_cast<std::int64_t>(latency * kMeanPerQuantile *
-                                                    1000))};
+  double sum = kMeanSamples * mean_latency_ms;
+  int samples = kMeanSamples;
+  if (const auto it = this->latencies.find(id); it != this->latencies.end()) {
+    sum += it->second.Count() * it->second.Quantile(kQuantile);
+    samples += it->second.Count();
+  }
+  const double time_us = sum / samples * kMeanPerQuantile * 1000;
+  return {slots, Duration(static_cast<std::int64_t>(time_us))};
 }
 
 auto LoadView::Parts(const std::vector<PlannedServer>& servers,
--- a/src/keys/load_view.h
+++ b/src/keys/load_view.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
+#include "keys/latency_sample.h"
 #include "keys/load_report.h"
 #include "keys/load_share.h"
 #include "keys/stripe_planner.h"
@@ -30,12 +31,12 @@
              TimePoint now) -> void;
 
  private:
-  /// The speed of one server.
-  struct Speed {
-    double latency_ms = 0;  ///< That about a third of the answers stay below.
-    int samples = 0;
-  };
-
+  /// Drops what is known of servers that have long gone.
+  auto ForgetOthers() -> void;
+  /// @return the latency that shows the server's speed, in milliseconds;
+  ///   nothing while too few answers are known.
+  [[nodiscard]] auto LatencyOf(const ServerId& id) const
+      -> std::optional<double>;
   /// @return the servers' parts of the load; empty while too little is known.
   [[nodiscard]] auto Parts(const std::vector<PlannedServer>& servers,
                            const std::vector<int>& slots) const
@@ -53,7 +54,7 @@
   std::vector<int> arriving;
   double other_rate = 0;
   int other_arriving = 0;
-  std::unordered_map<ServerId, Speed> speeds;
+  std::unordered_map<ServerId, LatencySample> latencies;
   TimePoint rolled_at{};
   double peak_rate = 0;
   std::vector<ServerId> weighed;  ///< The servers that `parts` are of.
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -232,6 +232,7 @@
                                   {"service", this->request.service.Value()},
                                   {"reason", reason},
                                   {"sends", this->sends}};
+  if (const auto key = this->request.Key()) fields.emplace_back("key", *key);
   if (target != nullptr) {
     const auto& load = target->load;
     fields.emplace_back("server", target->entry.id.Value());
@@ -272,16 +273,18 @@
                                    unsigned status) const -> void {
   if (!IsLogged(events::kRouted)) return;
   const auto took = this->request.state.clock.Now() - this->request.arrived;
-  Log(events::kRouted,
-      {{"request", this->request.RequestId()},
-       {"route", this->request.route->prefix},
-       {"service", this->request.service.Value()},
-       {"routes_version", this->request.routes->Config().version},
-       {"server", target.entry.id.Value()},
-       {"limit", target.load.Limit()},
-       {"sends", this->sends},
-       {"status", status},
-       {"took_us", took.count()}});
+  std::vector<LogField> fields = {
+      {"request", this->request.RequestId()},
+      {"route", this->request.route->prefix},
+      {"service", this->request.service.Value()},
+      {"routes_version", this->request.routes->Config().version},
+      {"server", target.entry.id.Value()},
+      {"limit", target.load.Limit()},
+      {"sends", this->sends},
+      {"status", status},
+      {"took_us", took.count()}};
+  if (const auto key = this->request.Key()) fields.emplace_back("key", *key);
+  Log(events::kRouted, fields);
 }
 
 }  // namespace currantbeam
