Tell refused clients to come back at the rate at which the server answers

Cause: whoever the owner of a key had no room for was told to come back after 200 ms. Ruled out: spreading the key's neighbourhood over more servers; the log shows that each spell is one key. Change: ReturnSchedule books one place after the other, at the rate seen since the server has been full, up to a third of what the client has left. Conclusion: kept for callers that come back after a spell; at size one key asked for by hundreds a second is beyond one server, whoever waits.

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -22,7 +22,7 @@
                            target->entry.service != entry.service;
   if (is_new_life) {
     target = std::make_shared<BackendTarget>(BackendTarget{
-        entry, BackendLoad(entry.slots, kFirstLatency, this->clock.Now())});
+        entry, BackendLoad(entry.slots, kFirstLatency, this->clock.Now()), {}});
     target->load.ShareAmong(this->gateways);
   } else {
     target->entry = entry;
--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -53,6 +53,11 @@
   return Duration(static_cast<std::int64_t>(expected * (1 + queued)));
 }
 
+auto BackendLoad::AnswerInterval(TimePoint now) const -> Duration {
+  const auto latency = static_cast<double>(this->ExpectedLatency(now).count());
+  return Duration(static_cast<std::int64_t>(latency / this->limit));
+}
+
 auto BackendLoad::Admit() -> bool {
   if (!this->HasRoom()) return false;
   if (this->limit >= 1) return true;
--- a/src/backends/backend_target.h
+++ b/src/backends/backend_target.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "backends/backend_entry.h"
+#include "policy/policy.h"
 
 namespace currantbeam {
 
@@ -17,6 +18,8 @@
   [[nodiscard]] auto Limit() const -> double { return this->limit; }
   /// @return the latency to expect of one more request.
   [[nodiscard]] auto ExpectedLatency(TimePoint now) const -> Duration;
+  /// @return in which time one more request of this gateway is answered.
+  [[nodiscard]] auto AnswerInterval(TimePoint now) const -> Duration;
   /// @return whether the server is left out for its failures for now.
   [[nodiscard]] auto IsEjected(TimePoint now) const -> bool {
     return now < this->ejected_until;
@@ -66,6 +69,7 @@
 struct BackendTarget {
   BackendEntry entry;
   BackendLoad load;
+  ReturnSchedule returns;  ///< Of clients that it had no room for.
 };
 
 using BackendTargetPtr = std::shared_ptr<BackendTarget>;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -10,5 +10,6 @@
 #include "policy/hot_key_sketch.h"
 #include "policy/idempotency_memory.h"
 #include "policy/retry_budget.h"
+#include "policy/return_schedule.h"
 #include "policy/server_queue.h"
 #include "policy/service_times.h"
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -14,6 +14,8 @@
 constexpr auto kLeastAttempt = std::chrono::milliseconds(20);
 constexpr auto kNotReadyRetry = std::chrono::milliseconds(300);
 constexpr auto kNoRoomRetry = std::chrono::milliseconds(200);
+/// Clients come back within this part of the time that they have left.
+constexpr int kLeftPerWait = 3;
 /// Sends of one request, those that servers refused included.
 constexpr int kMostSends = 3;
 
@@ -53,12 +55,14 @@
 
 auto ForwardedRequest::ReadDeadline() -> void {
   const auto& request = this->request.exchange.Request();
-  Duration allowed = this->request.route->timeout;
+  const Duration timeout = this->request.route->timeout;
+  Duration patience = timeout;
   const auto header = ToView(request[this->request.state.headers.deadline_ms]);
   if (const auto wait = ParseNumber(header)) {
-    allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*wait));
+    patience = std::chrono::milliseconds(*wait);
   }
-  this->request.deadline = this->request.arrived + allowed;
+  this->request.client_deadline = this->request.arrived + patience;
+  this->request.deadline = this->request.arrived + std::min(timeout, patience);
 }
 
 auto ForwardedRequest::Forward() -> void {
@@ -77,7 +81,7 @@
     this->may_have_run |= end == AttemptEnd::kMayHaveRun;
     if (this->request.is_client_gone) break;
     if (!this->MayRetry(end)) {
-      this->GiveUp(end);
+      this->GiveUp(end, *target);
       return;
     }
     Log(events::kRetried, {{"request", this->request.RequestId()},
@@ -96,9 +100,9 @@
   return this->request.is_client_gone;
 }
 
-auto ForwardedRequest::GiveUp(AttemptEnd last) -> void {
+auto ForwardedRequest::GiveUp(AttemptEnd last, BackendTarget& target) -> void {
   if (last != AttemptEnd::kMayHaveRun) {
-    this->Refuse("servers-refused", kNoRoomRetry);
+    this->Refuse("servers-refused", this->RoomWait(target), &target);
     return;
   }
   const bool is_late = this->request.Left() <= kLeastAttempt;
@@ -107,6 +111,15 @@
       "no-answer");
 }
 
+auto ForwardedRequest::RoomWait(BackendTarget& target) const
+    -> std::chrono::milliseconds {
+  const auto now = this->request.state.clock.Now();
+  const auto left = this->request.client_deadline - now;
+  const auto wait = target.returns.Next(now, target.load.AnswerInterval(now),
+                                        left / kLeftPerWait);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+}
+
 auto ForwardedRequest::RecordKey() -> void {
   const auto key = this->request.Key();
   if (!this->request.is_keyed || !key) return;
@@ -160,7 +173,7 @@
     return nullptr;
   }
   if (is_late || !target->load.Admit()) {
-    this->Refuse("owner-busy", kNoRoomRetry, target.get());
+    this->Refuse("owner-busy", this->RoomWait(*target), target.get());
     return nullptr;
   }
   return target;
@@ -231,6 +244,7 @@
   std::vector<LogField> fields = {{"request", this->request.RequestId()},
                                   {"service", this->request.service.Value()},
                                   {"reason", reason},
+                                  {"retry_after_ms", retry_after.count()},
                                   {"sends", this->sends}};
   if (const auto key = this->request.Key()) fields.emplace_back("key", *key);
   if (target != nullptr) {
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -31,7 +31,11 @@
   auto OwnerTarget(int key) -> BackendTargetPtr;
   auto TryAt(BackendTarget& target) -> AttemptEnd;
   /// Answers the request after an attempt that is not repeated.
-  auto GiveUp(AttemptEnd last) -> void;
+  /// @param target  the server of that attempt.
+  auto GiveUp(AttemptEnd last, BackendTarget& target) -> void;
+  /// @return after which time the client may find room at the server.
+  [[nodiscard]] auto RoomWait(BackendTarget& target) const
+      -> std::chrono::milliseconds;
   /// @return whether another attempt is made after one that ended so.
   auto MayRetry(AttemptEnd last) -> bool;
   /// Waits for a server that may hold the key after the last one did not.
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -17,12 +17,14 @@
         exchange(exchange),
         arrived(state.clock.Now()),
         deadline(arrived),
+        client_deadline(arrived),
         routes(state.routes) {}
 
   ForwardingState& state;
   HttpExchange& exchange;
   TimePoint arrived;
   TimePoint deadline;
+  TimePoint client_deadline;                 ///< Until when the client waits.
   std::shared_ptr<const RouteTable> routes;  ///< Keeps `route` alive.
   const Route* route = nullptr;
   ServiceName service;
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -166,6 +166,7 @@
   }
   const auto latency = now - this->sent_at;
   this->target.load.OnAnswer(now, latency, this->request.route->latency_target);
+  this->target.returns.OnAnswer();
   if (!this->request.is_keyed) return;
   this->request.state.loads.OnAnswer(this->request.service,
                                      this->target.entry.id, latency);
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -43,6 +43,11 @@
     state.seen = std::max(state.seen, fence);
     state.until = is_release ? TimePoint{} : until;
   }
+  if (this->events != nullptr && is_release) {
+    this->events->OnReleased(first, last, fence);
+  } else if (this->events != nullptr) {
+    this->events->OnHold(first, last, fence, until - this->clock.Now());
+  }
   HttpResponse response{http::status::ok, 11};
   if (is_release) response.set("X-Handover", "from-" + this->id);
   exchange.Send(std::move(response));
@@ -88,6 +93,12 @@
                              const std::string& request_id) -> void {
   ++this->running;
   ++this->runs[request_id];
+  if (this->events != nullptr) {
+    const auto key = Header(exchange.Request(), "X-Shard-Key");
+    const long number =
+        key.empty() ? -1 : std::strtol(key.c_str(), nullptr, 10);
+    this->events->OnRun(request_id, static_cast<int>(number));
+  }
   this->deadlines.push_back(
       std::atoi(Header(exchange.Request(), "X-Deadline-Ms").c_str()));
   const auto until = this->clock.Now() + this->behaviour.work;
--- a/src/standins/wire/wire_backend.h
+++ b/src/standins/wire/wire_backend.h
@@ -25,11 +25,24 @@
   int fail_requests = 0;
 };
 
+/// Told of what a stand-in server does.
+class WireBackendEvents {
+ public:
+  virtual ~WireBackendEvents() = default;
+  /// @param key  of the request; -1 if it has none.
+  virtual auto OnRun(const std::string& request_id, int key) -> void = 0;
+  virtual auto OnHold(int first, int last, std::uint64_t fence, Duration hold)
+      -> void = 0;
+  virtual auto OnReleased(int first, int last, std::uint64_t fence) -> void = 0;
+};
+
 /// A backend server on the platform's wire: keys granted under fencing
 /// tokens, slots and a queue, expected ids, and faults on demand. One loop.
 class WireBackend : public HttpHandler {
  public:
-  explicit WireBackend(std::string id) : id(std::move(id)) {}
+  /// @param events  may be null.
+  explicit WireBackend(std::string id, WireBackendEvents* events = nullptr)
+      : id(std::move(id)), events(events) {}
 
   auto Handle(HttpExchange& exchange) -> void override;
   auto OnBadInput(const std::string& what) -> void override;
@@ -67,6 +80,7 @@
   auto NotRun(HttpExchange& exchange, http::status status) const -> void;
 
   std::string id;
+  WireBackendEvents* events;
   SteadyClock clock;
   std::map<int, Hold> holds;  ///< By key.
   std::map<std::string, int> runs;
--- a/src/standins/wire/wire_store.cc
+++ b/src/standins/wire/wire_store.cc
@@ -84,6 +84,10 @@
   try {
     if (path == "/rows-tx") return this->Transact(request.body());
     if (path == "/rows-feed") return this->Feed(target);
+    if (path == "/standin/drop-history") {
+      this->store.DropHistory();
+      return Json(http::status::ok, nlohmann::json::object());
+    }
     if (path == "/rows-get") {
       const auto batch = this->store.Read(Parameter(target, "table"),
                                           Parameter(target, "part"));
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,105 @@
+"""Callers that keep connections open and note what each request came to."""
+
+import asyncio
+import random
+import time
+
+DEADLINE_S = 2.0
+NOT_RUN = {408, 421, 429, 503}
+
+
+class Request:
+    def __init__(self, number, kind, service, key):
+        self.id = f"{number:08x}"
+        self.kind, self.service, self.key = kind, service, key
+        self.router = None
+        self.written_at = None    # when its last byte was handed over
+        self.ended_at = None
+        self.outcome = "unsent"   # a status, "closed", "late" or "unsent"
+        self.problem = None       # what was wrong with the answer
+
+
+def parse_head(head):
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        fields[name.strip().lower()] = value.strip()
+    return int(lines[0].split(" ")[1]), fields
+
+
+class Caller:
+    """One client: one request at a time, on a connection that it keeps."""
+
+    def __init__(self, deployment, requests, seed):
+        self.deployment, self.requests = deployment, requests
+        self.random = random.Random(seed)
+        self.connection = None
+        self.router = None
+
+    async def run(self, rate):
+        while True:
+            await self.send(self.random.choice(["safe", "safe", "unsafe", "download"]),
+                            self.random.choice(["keyed", "plain"]))
+            await asyncio.sleep(self.random.expovariate(rate))
+
+    def close(self):
+        if self.connection:
+            self.connection[1].close()
+        self.connection = None
+
+    async def connect(self):
+        routers = [r for r in self.deployment.routers if r.process.is_up() and r.term_at is None]
+        if not routers:
+            return False
+        self.router = self.random.choice(routers)
+        try:
+            opening = asyncio.open_connection(self.router.address, self.deployment.port + 1)
+            self.connection = await asyncio.wait_for(opening, 1)
+            return True
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    async def send(self, kind, service):
+        key = self.random.randrange(65536)
+        request = Request(len(self.requests), kind, service, key)
+        self.requests.append(request)
+        if not self.connection and not await self.connect():
+            return request
+        request.router = self.router.name
+        method = "POST" if kind == "unsafe" else "GET"
+        body = "order" if kind == "unsafe" else ""
+        head = (f"{method} /{service}/{kind}/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request.id}\r\n"
+                f"X-Shard-Key: {key}\r\nX-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}")
+        try:
+            self.connection[1].write(head.encode())
+            request.written_at = time.monotonic()
+            # A router may be half a second late with its own answer.
+            await asyncio.wait_for(self.read(request), DEADLINE_S + 0.6)
+        except asyncio.TimeoutError:
+            request.outcome = "late"
+            self.close()
+        except (OSError, asyncio.IncompleteReadError):
+            request.outcome = "closed"
+            self.close()
+        request.ended_at = time.monotonic()
+        return request
+
+    async def read(self, request):
+        reader = self.connection[0]
+        head = await reader.readuntil(b"\r\n\r\n")
+        status, fields = parse_head(head[:-4])
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        request.outcome = status
+        if 200 <= status < 300:
+            if not fields.get("x-backend-seal"):
+                request.problem = "a success without the server's mark"
+            elif fields.get("x-request-id") != request.id:
+                request.problem = "an answer to another request"
+            elif body != b"b" * 100:
+                request.problem = "a body that is not the server's"
+        elif 300 <= status < 500 and status not in NOT_RUN:
+            request.problem = f"status {status} for a proper request"
+        if fields.get("connection", "").lower() == "close":
+            self.close()
