Compare near servers first, and expect the typical of servers not seen

A gateway sees few answers of each server; one that it had not seen, or not for seconds, was expected to answer in 80 ms where 700 are usual, so that nearly every choice was a first try, three times in four far away. Change: a service's average latency is what is expected of servers not seen for a while, 0.7 of it of those never seen; 12 near servers and 4 far ones with room are compared.

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -21,8 +21,12 @@
                            target->entry.port != entry.port ||
                            target->entry.service != entry.service;
   if (is_new_life) {
+    auto& typical = this->typical[entry.service];
+    if (typical == nullptr) {
+      typical = std::make_shared<TypicalLatency>(kFirstLatency);
+    }
     target = std::make_shared<BackendTarget>(BackendTarget{
-        entry, BackendLoad(entry.slots, kFirstLatency, this->clock.Now()), {}});
+        entry, BackendLoad(entry.slots, typical, this->clock.Now()), {}});
     target->load.ShareAmong(this->gateways);
   } else {
     target->entry = entry;
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -42,6 +42,7 @@
   const Clock& clock;
   std::unordered_map<ServerId, BackendTargetPtr> targets;
   std::unordered_map<ServiceName, std::vector<BackendTargetPtr>> ready;
+  std::unordered_map<ServiceName, std::shared_ptr<TypicalLatency>> typical;
   std::map<ServerId, TimePoint> lapsed;  ///< Until when each may come back.
   TimePoint entries_return_until{};
   int gateways = 1;
--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -1,6 +1,7 @@
 #include "backends/backend_target.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace currantbeam {
 namespace {
@@ -8,8 +9,11 @@
 /// Weight of the newest answer in the average latency.
 constexpr double kLatencyWeight = 0.15;
 /// A server that has not answered for this long is expected to have recovered
-/// halfway to the first estimate.
+/// halfway to what is typical.
 constexpr auto kForgetHalf = std::chrono::seconds(2);
+/// A server that was not tried yet is expected to be this much better than is
+/// typical, so that it is tried.
+constexpr double kUnseenPart = 0.7;
 constexpr auto kDecreaseInterval = std::chrono::milliseconds(150);
 constexpr double kRefusedFactor = 0.7;
 constexpr double kSlowFactor = 0.9;
@@ -29,24 +33,24 @@
 
 }  // namespace
 
-BackendLoad::BackendLoad(int slots, Duration first_estimate, TimePoint now)
+BackendLoad::BackendLoad(int slots, std::shared_ptr<TypicalLatency> typical,
+                         TimePoint now)
     : slots(std::max(slots, 1)),
       most(kLimitPerSlot * this->slots),
       limit(this->slots),
-      latency_us(static_cast<double>(first_estimate.count())),
-      first_estimate(first_estimate),
+      typical(std::move(typical)),
       last_decrease(now - kDecreaseInterval),
       last_answer(now),
       ejected_until(now) {}
 
 auto BackendLoad::ExpectedLatency(TimePoint now) const -> Duration {
   const auto silent = std::max(now - this->last_answer, Duration(0));
-  const auto first = static_cast<double>(this->first_estimate.count());
-  double expected = this->latency_us;
-  if (this->in_flight == 0 && expected > first) {
+  const double usual = this->typical->Microseconds();
+  double expected = this->latency_us.value_or(kUnseenPart * usual);
+  if (this->in_flight == 0 && expected > usual) {
     const double halves = static_cast<double>(silent.count()) /
                           static_cast<double>(Duration(kForgetHalf).count());
-    expected = first + (expected - first) / (1 + halves * halves);
+    expected = usual + (expected - usual) / (1 + halves * halves);
   }
   const double queued =
       static_cast<double>(this->in_flight) / static_cast<double>(this->slots);
@@ -79,10 +83,14 @@
   this->failures_in_row = 0;
   this->ejection = Duration(0);
   this->last_answer = now;
-  this->latency_us += kLatencyWeight *
-                      (static_cast<double>(latency.count()) - this->latency_us);
+  const double before =
+      this->latency_us.value_or(this->typical->Microseconds());
+  const double average =
+      before + kLatencyWeight * (static_cast<double>(latency.count()) - before);
+  this->latency_us = average;
+  this->typical->Add(latency);
   const double slow = kSlowTargets * static_cast<double>(target.count());
-  if (this->latency_us > slow) {
+  if (average > slow) {
     this->Decrease(now, kSlowFactor);
     return;
   }
--- a/src/backends/backend_target.h
+++ b/src/backends/backend_target.h
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 
 #include "backends/backend_entry.h"
+#include "backends/typical_latency.h"
 #include "policy/policy.h"
 
 namespace currantbeam {
@@ -11,8 +13,9 @@
 /// What this gateway has seen of one backend server, and how much it gives it.
 class BackendLoad {
  public:
-  /// @param first_estimate  of an answer's latency, until one is seen.
-  BackendLoad(int slots, Duration first_estimate, TimePoint now);
+  /// @param typical  of the service; shared by its servers.
+  BackendLoad(int slots, std::shared_ptr<TypicalLatency> typical,
+              TimePoint now);
 
   [[nodiscard]] auto InFlight() const -> int { return this->in_flight; }
   [[nodiscard]] auto Limit() const -> double { return this->limit; }
@@ -57,8 +60,8 @@
   double most;  ///< The limit is never above this.
   double limit;
   double credit = 0;  ///< Towards the next request, while limit is below one.
-  double latency_us;
-  Duration first_estimate;
+  std::optional<double> latency_us;  ///< Average of its answers.
+  std::shared_ptr<TypicalLatency> typical;
   TimePoint last_decrease;
   TimePoint last_answer;
   TimePoint ejected_until;
--- a/src/router/backend_chooser.cc
+++ b/src/router/backend_chooser.cc
@@ -5,8 +5,9 @@
 namespace currantbeam {
 namespace {
 
-/// Servers that are compared for one request.
-constexpr std::size_t kMostCompared = 16;
+/// Servers with room that are compared for one request.
+constexpr int kMostNear = 12;
+constexpr int kMostFar = 4;
 /// How much longer a near server may take to be preferred to a far one.
 constexpr double kFarPenalty = 1.3;
 constexpr double kFarPenaltyDownload = 3.0;
@@ -29,19 +30,25 @@
   if (servers.empty()) return nullptr;
   const auto now = this->clock.Now();
   const auto start = this->random() % servers.size();
-  const auto count = std::min(servers.size(), kMostCompared);
   BackendTargetPtr best;
   double best_cost = 0;
-  for (std::size_t i = 0; i < count; ++i) {
+  int near = 0;
+  int far = 0;
+  for (std::size_t i = 0; i < servers.size(); ++i) {
     const auto& target = servers[(start + i) % servers.size()];
+    const bool is_near = target->entry.domain == this->domain;
+    int& compared = is_near ? near : far;
+    if (compared >= (is_near ? kMostNear : kMostFar)) continue;
     const bool was_tried =
         std::find(tried.begin(), tried.end(), target->entry.id) != tried.end();
     if (was_tried || target->load.IsEjected(now)) continue;
     if (!target->load.HasRoom()) continue;
+    ++compared;
     const auto cost = this->Cost(*target, kind, now);
     if (best != nullptr && cost >= best_cost) continue;
     best = target;
     best_cost = cost;
+    if (near >= kMostNear && far >= kMostFar) break;
   }
   return best;
 }
