Go on granting keys while the store does not answer

The log shows commit-unknown at 19 s: after a change without an answer the keeper loaded the map again before any further call, so that it renewed nothing; its fiber also waited behind the lease's own write. Every host then asked the store for the lease five times and for the owners twice a second. Ruled out: the lease (it ran out at 20.7 s only) and longer holds for all (they would make each lost server's keys wait longer). Change: a change that gets no answer freezes only the stripes that it moves; loading and committing have a fiber of their own; what is granted in the last 1.5 s of a lease is granted for the longest that a server takes (10 s); asking for the lease and reading owners backs off to 1.6 and 4 s while nothing new comes.

--- a/src/keys/keeper_lease.cc
+++ b/src/keys/keeper_lease.cc
@@ -8,7 +8,6 @@
 namespace {
 
 const RowName kLeaseRow = {"keeper", "", "lease"};
-constexpr auto kRetry = std::chrono::milliseconds(200);
 /// Hosts that wait for the same lease try it at different moments.
 constexpr auto kSpread = std::chrono::milliseconds(200);
 constexpr auto kAfterEnd = std::chrono::milliseconds(20);
@@ -27,8 +26,9 @@
   try {
     batch = this->store.Read(kLeaseRow.table, kLeaseRow.partition);
   } catch (const StoreError&) {
-    return kRetry;
+    return this->NextRetry();
   }
+  this->retry = kFirstRetry;
   this->store_time = batch.store_time;
   this->store_time_seen_at = asked;
   this->store_time_known_at = this->clock.Now();
@@ -73,7 +73,14 @@
     this->version = 0;
     return Duration(kAfterEnd);
   }
-  return kRetry;
+  // What is left of the lease is used to keep it.
+  return this->IsHeld() ? kFirstRetry : this->NextRetry();
+}
+
+auto KeeperLease::NextRetry() -> Duration {
+  const auto retry = this->retry;
+  this->retry = std::min(2 * retry, kLongestRetry);
+  return retry;
 }
 
 auto KeeperLease::Claimed(TimePoint asked, Duration store_time) -> void {
--- a/src/keys/keeper_lease.h
+++ b/src/keys/keeper_lease.h
@@ -35,6 +35,11 @@
   [[nodiscard]] auto IsHeld() const -> bool {
     return this->clock.Now() < this->held_until;
   }
+  /// @return how long this process still holds the lease for sure; not above
+  ///   zero if it does not.
+  [[nodiscard]] auto Left() const -> Duration {
+    return this->held_until - this->clock.Now();
+  }
   /// @return the row under which writes of the holder are made.
   [[nodiscard]] auto Condition() const -> RowCondition;
   /// @return where the holder takes reports, as far as known; may be empty.
@@ -53,6 +58,7 @@
   };
 
   auto Look() -> Duration;
+  auto NextRetry() -> Duration;
   /// @return whether others have had their time to take the free lease.
   auto HasYielded() -> bool;
   auto Renew() -> Duration;
@@ -62,6 +68,11 @@
   static auto Decode(const std::string& text) -> std::optional<Claim>;
   auto NoteRow(const StoreRow& row) -> void;
 
+  /// After a call without success; twice as long after each further one, as
+  /// all hosts ask while the store is away.
+  static constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
+  static constexpr Duration kLongestRetry = std::chrono::milliseconds(1600);
+
   StoreClient& store;
   const Clock& clock;
   Options options;
@@ -72,6 +83,7 @@
   Duration store_time{0};
   TimePoint held_until{};
   std::optional<TimePoint> free_since;  ///< When it was first seen free.
+  Duration retry = kFirstRetry;
   std::uint64_t writes = 0;
   int term = 0;
 };
--- a/src/keys/kept_service.cc
+++ b/src/keys/kept_service.cc
@@ -27,10 +27,19 @@
       view(stripe_count),
       stripe_count(stripe_count) {}
 
+auto KeptService::LoadIfDue() -> void {
+  if (!this->lease.IsHeld()) return;
+  if (this->loaded_term == this->lease.Term() && !this->is_commit_unknown) {
+    return;
+  }
+  this->Load();
+}
+
 auto KeptService::TakeOrders(std::vector<PlannedServer> servers)
     -> std::vector<KeyOrder> {
-  if (this->loaded_term != this->lease.Term() && !this->Load()) return {};
+  if (this->loaded_term != this->lease.Term()) return {};
   this->NoteServers(std::move(servers));
+  this->keeper.SetLeaseLeft(this->lease.Left());
   return this->keeper.TakeOrders();
 }
 
@@ -49,10 +58,11 @@
   this->keeper.SetServers(std::move(servers), this->view.StripeLoads());
 }
 
-auto KeptService::Load() -> bool {
+auto KeptService::Load() -> void {
   const auto term = this->lease.Term();
   try {
     const auto batch = this->store.Read(kOwnersTable, "");
+    if (!this->lease.IsHeld() || this->lease.Term() != term) return;
     OwnerMap map(this->stripe_count);
     this->stored = StoreRow{RowOf(this->name), "", 0, false};
     for (const auto& row : batch.rows) {
@@ -62,16 +72,16 @@
     }
     this->keeper.Load(std::move(map), this->stored.version);
     this->loaded_term = term;
-    return true;
+    this->is_commit_unknown = false;
   } catch (const Error& error) {
     Log(events::kOwnersUnread,
         {{"service", this->name.Value()}, {"error", error.what()}});
   }
-  return false;
 }
 
 auto KeptService::MayCommit() const -> bool {
   if (this->loaded_term != this->lease.Term()) return false;
+  if (this->is_commit_unknown) return false;
   if (this->keeper.Version() != 0) return true;
   return this->clock.Now() - this->servers_seen_at >= kServersSettle;
 }
@@ -102,8 +112,10 @@
                                    {"fence", this->keeper.Map().LastFence()}});
     return update;
   }
-  // Without an answer the write may be done already, or be done later.
-  this->loaded_term = 0;
+  // Without an answer the write may be done already, or be done later; what
+  // it does not change goes on meanwhile.
+  this->is_commit_unknown = true;
+  if (result.outcome == WriteOutcome::kConflict) this->loaded_term = 0;
   Log(result.outcome == WriteOutcome::kUnknown ? events::kCommitUnknown
                                                : events::kCommitConflict,
       {{"row", "owners/" + this->name.Value()}});
--- a/src/keys/kept_service.h
+++ b/src/keys/kept_service.h
@@ -23,6 +23,9 @@
               int stripe_count = kDefaultStripeCount);
 
   [[nodiscard]] auto Name() const -> const ServiceName& { return this->name; }
+  /// Loads the map from the store if it is not known for this term of the
+  /// lease, or if a change of it may be in the store without an answer.
+  auto LoadIfDue() -> void;
   /// Call while the lease is held.
   /// @param servers  that may own keys, weighed by their slots.
   /// @return calls that are due; answer each at Keeper().
@@ -39,7 +42,7 @@
   [[nodiscard]] auto Stored() const -> const StoreRow& { return this->stored; }
 
  private:
-  auto Load() -> bool;
+  auto Load() -> void;
   auto NoteServers(std::vector<PlannedServer> servers) -> void;
   [[nodiscard]] auto MayCommit() const -> bool;
 
@@ -52,6 +55,7 @@
   LoadView view;
   int stripe_count;
   int loaded_term = 0;  ///< The lease's term in which the map was loaded.
+  bool is_commit_unknown = false;
   std::size_t servers_seen = 0;
   TimePoint servers_seen_at{};
 };
--- a/src/keys/key_keeper.cc
+++ b/src/keys/key_keeper.cc
@@ -42,6 +42,7 @@
 auto KeyKeeper::Start() -> void {
   FiberLoop::Current().Spawn([this] { this->RunLease(); });
   FiberLoop::Current().Spawn([this] { this->RunServices(); });
+  FiberLoop::Current().Spawn([this] { this->RunStored(); });
 }
 
 auto KeyKeeper::Stop() -> void {
@@ -96,17 +97,30 @@
   while (!this->stopped) {
     if (this->lease.IsHeld()) {
       for (auto& [name, service] : this->services) {
-        if (service.is_keyed) this->Tick(service.kept);
+        if (service.is_keyed) this->SendOrders(service.kept);
       }
     }
     SleepFor(kTick);
   }
 }
 
-auto KeyKeeper::Tick(KeptService& service) -> void {
+auto KeyKeeper::RunStored() -> void {
+  while (!this->stopped) {
+    for (auto& [name, service] : this->services) {
+      if (service.is_keyed) this->Commit(service.kept);
+    }
+    SleepFor(kTick);
+  }
+}
+
+auto KeyKeeper::SendOrders(KeptService& service) -> void {
   this->NoteReusedAddresses(service.Keeper());
   const auto orders = service.TakeOrders(this->ServersOf(service.Name()));
   for (const auto& order : orders) this->Dispatch(service, order);
+}
+
+auto KeyKeeper::Commit(KeptService& service) -> void {
+  service.LoadIfDue();
   std::optional<OwnerUpdate> update;
   {
     const std::lock_guard lock(this->writing);
@@ -196,8 +210,8 @@
                           ServiceKeeper& keeper) -> void {
   const auto reply =
       this->grants.Grant(order.owner, keeper.Map().KeysOf(order.stripe),
-                         order.fence, ToMillis(this->timing.hold),
-                         order.hand_over, ToMillis(this->timing.call_timeout));
+                         order.fence, ToMillis(order.hold), order.hand_over,
+                         ToMillis(this->timing.call_timeout));
   const bool is_lost = reply == GrantReply::kNoContact;
   this->NoteReply(lane, !is_lost && reply != GrantReply::kNoAnswer);
   if (is_lost) {
--- a/src/keys/key_keeper.h
+++ b/src/keys/key_keeper.h
@@ -72,7 +72,11 @@
   auto RunLease() -> void;
   auto StepLease() -> Duration;
   auto RunServices() -> void;
-  auto Tick(KeptService& service) -> void;
+  /// Loads and commits; apart from the calls, which go on while the store
+  /// does not answer.
+  auto RunStored() -> void;
+  auto SendOrders(KeptService& service) -> void;
+  auto Commit(KeptService& service) -> void;
   auto NoteReusedAddresses(ServiceKeeper& keeper) const -> void;
   [[nodiscard]] auto ServersOf(const ServiceName& name) const
       -> std::vector<PlannedServer>;
--- a/src/keys/service_keeper.cc
+++ b/src/keys/service_keeper.cc
@@ -28,13 +28,14 @@
   this->stripes.assign(this->map.StripeCount(), Stripe());
   ++this->term;
   this->heard_at.clear();
+  this->is_changing = false;
   this->evened_at = now;
   this->committed_at = now - kTokenInterval;
   for (int i = 0; i < this->map.StripeCount(); ++i) {
     auto& stripe = this->stripes[i];
     if (this->map.OwnerOf(i) == nullptr) continue;
     stripe.phase = Phase::kHeld;
-    stripe.held_until = this->LongestHold(now);
+    stripe.held_until = this->HeldUntil(now, this->timing.longest_hold);
     stripe.due = now;
     // Shuts out what the last keeper sent that is still on its way.
     stripe.is_fence_stale = true;
@@ -52,11 +53,21 @@
   }
 }
 
-auto ServiceKeeper::LongestHold(TimePoint sent) const -> TimePoint {
-  const auto hold = Duration(
-      static_cast<std::int64_t>(static_cast<double>(this->timing.hold.count()) *
-                                this->timing.slow_clock));
-  return sent + this->timing.call_timeout + hold + this->timing.margin;
+auto ServiceKeeper::HeldUntil(TimePoint sent, Duration hold) const
+    -> TimePoint {
+  const auto longest = Duration(static_cast<std::int64_t>(
+      static_cast<double>(hold.count()) * this->timing.slow_clock));
+  return sent + this->timing.call_timeout + longest + this->timing.margin;
+}
+
+auto ServiceKeeper::SetLeaseLeft(Duration left) -> void {
+  const bool was_ending = this->is_lease_ending;
+  this->is_lease_ending = left <= this->timing.lease_ending;
+  if (was_ending || !this->is_lease_ending) return;
+  for (auto& stripe : this->stripes) {
+    if (stripe.phase != Phase::kHeld) continue;
+    stripe.due = std::min(stripe.due, this->clock.Now());
+  }
 }
 
 auto ServiceKeeper::SetServers(std::vector<PlannedServer> servers,
@@ -101,6 +112,7 @@
     auto& stripe = this->stripes[i];
     const int owner = this->map.OwnerIndexOf(i);
     if (stripe.phase == Phase::kVacant || owner < 0) continue;
+    if (stripe.is_frozen) continue;
     const bool is_sound = places[owner] >= 0;
     if (stripe.phase == Phase::kHeld && !is_sound) {
       stripe.phase = Phase::kReleasing;
@@ -150,6 +162,8 @@
 }
 
 auto ServiceKeeper::EvenOut(TimePoint now) -> void {
+  // What nobody may commit for now stays where it is.
+  if (this->is_changing || this->is_lease_ending) return;
   if (now - this->evened_at < kEvenInterval) return;
   this->evened_at = now;
   const bool is_moving = std::any_of(
@@ -172,8 +186,9 @@
   const bool is_grant = kind == KeyOrder::Kind::kGrant;
   const auto fence =
       is_grant ? this->map.FenceOf(stripe) : this->map.LastFence() + 1;
-  return {kind,  stripe,          *this->map.OwnerOf(stripe),
-          fence, state.hand_over, this->term};
+  return {kind,      stripe,          *this->map.OwnerOf(stripe),
+          fence,     state.hand_over, this->Hold(),
+          this->term};
 }
 
 auto ServiceKeeper::TakeOrders() -> std::vector<KeyOrder> {
@@ -184,13 +199,14 @@
   std::vector<KeyOrder> orders;
   for (int i = 0; i < this->map.StripeCount(); ++i) {
     auto& stripe = this->stripes[i];
-    if (stripe.is_in_flight || now < stripe.due) continue;
+    if (stripe.is_in_flight || stripe.is_frozen || now < stripe.due) continue;
     if (this->map.OwnerOf(i) == nullptr) continue;
     if (stripe.phase == Phase::kReleasing) {
       orders.push_back(this->MakeOrder(i, KeyOrder::Kind::kRelease));
     } else if (stripe.phase == Phase::kHeld && !stripe.is_fence_stale) {
-      stripe.held_until = std::max(stripe.held_until, this->LongestHold(now));
       orders.push_back(this->MakeOrder(i, KeyOrder::Kind::kGrant));
+      stripe.held_until =
+          std::max(stripe.held_until, this->HeldUntil(now, orders.back().hold));
     }
   }
   return orders;
@@ -204,7 +220,8 @@
   stripe.is_in_flight = false;
   stripe.due = std::max(stripe.due, now + kRetry);
   // It may have reached the server until just now.
-  stripe.held_until = std::max(stripe.held_until, this->LongestHold(now));
+  stripe.held_until =
+      std::max(stripe.held_until, this->HeldUntil(now, order.hold));
   stripe.is_fence_used = true;
   stripe.is_lost = false;
   if (reply != GrantReply::kNoAnswer) this->NoteHeard(order.owner);
@@ -264,6 +281,7 @@
 }
 
 auto ServiceKeeper::PlanChange() -> bool {
+  if (this->is_changing) return false;
   if (this->IsGathering(this->clock.Now())) return false;
   const auto moves = StripePlanner::Deal(this->Placement());
   bool has_stale = false;
@@ -284,6 +302,11 @@
     if (!stripe.is_fence_stale || stripe.phase != Phase::kHeld) continue;
     this->planned.Assign(i, KeyOwner(*this->map.OwnerOf(i)), fence);
   }
+  this->is_changing = true;
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
+    this->stripes[i].is_frozen =
+        this->planned.FenceOf(i) != this->map.FenceOf(i);
+  }
   return true;
 }
 
@@ -304,6 +327,7 @@
     if (this->planned.FenceOf(i) == this->map.FenceOf(i)) continue;
     auto& stripe = this->stripes[i];
     stripe.phase = Phase::kHeld;
+    stripe.is_frozen = false;
     stripe.is_fence_stale = false;
     stripe.is_fence_used = false;
     stripe.is_evened = false;
@@ -311,6 +335,7 @@
     stripe.is_new = true;
     stripe.due = now;
   }
+  this->is_changing = false;
   this->map = this->planned;
   this->version = version;
   this->committed_at = now;
--- a/src/keys/service_keeper.h
+++ b/src/keys/service_keeper.h
@@ -13,6 +13,11 @@
 /// How long grants last and how often they are renewed.
 struct GrantTiming {
   Duration hold = std::chrono::seconds(8);
+  /// The longest that a server takes; granted before the lease runs out, so
+  /// that keys stay served while the store is away.
+  Duration longest_hold = std::chrono::seconds(10);
+  /// The lease is about to run out if no more than this is left of it.
+  Duration lease_ending = std::chrono::milliseconds(1500);
   Duration renewal = std::chrono::seconds(4);
   Duration call_timeout = std::chrono::milliseconds(400);
   /// Longest time that a release waits for running work.
@@ -32,7 +37,8 @@
   KeyOwner owner;
   FencingToken fence = 0;
   std::string hand_over;
-  int term = 0;  ///< Orders of an earlier load of the map are void.
+  Duration hold{0};  ///< Of a grant.
+  int term = 0;      ///< Orders of an earlier load of the map are void.
 };
 
 /// Decides which grants and releases one service's servers get. Talks to
@@ -63,6 +69,9 @@
   /// higher token from here on. Call before the replies to what was sent.
   auto OnContactLost(const KeyOwner& owner) -> void;
 
+  /// Says how long the lease under which grants are made still lasts.
+  auto SetLeaseLeft(Duration left) -> void;
+
   /// @return calls that are due; each is answered by one of the On methods.
   auto TakeOrders() -> std::vector<KeyOrder>;
   auto OnGrantReply(const KeyOrder& order, GrantReply reply) -> void;
@@ -70,6 +79,8 @@
   /// The order cannot have reached the owner.
   auto OnNotSent(const KeyOrder& order) -> void;
 
+  /// Stripes that are to change get no calls until it is known whether they
+  /// did: until OnCommitted, or until the map is loaded again.
   /// @return whether owners are to be changed; then PlannedMap says how.
   auto PlanChange() -> bool;
   [[nodiscard]] auto PlannedMap() const -> const OwnerMap& {
@@ -97,12 +108,20 @@
     bool is_fence_used = false;   ///< A server may have seen the token.
     bool is_lost = false;    ///< Nothing was granted since contact was lost.
     bool is_evened = false;  ///< It leaves a sound owner.
+    bool is_frozen = false;  ///< A change of it may be in the store, or not.
     TimePoint held_until{};  ///< Nobody can hold it after this.
     TimePoint due{};
     std::string hand_over;
   };
 
-  [[nodiscard]] auto LongestHold(TimePoint sent) const -> TimePoint;
+  /// @return until when a server may hold what it is sent at that time.
+  [[nodiscard]] auto HeldUntil(TimePoint sent, Duration hold) const
+      -> TimePoint;
+  /// @return how long what is granted now is held.
+  [[nodiscard]] auto Hold() const -> Duration {
+    return this->is_lease_ending ? this->timing.longest_hold
+                                 : this->timing.hold;
+  }
   [[nodiscard]] auto RenewalAfter(int stripe, bool is_new) const -> Duration;
   auto UpdatePhases(TimePoint now) -> void;
   /// @return whether vacant stripes should wait for others.
@@ -135,6 +154,8 @@
   TimePoint evened_at{};
   TimePoint committed_at{};
   TimePoint vacant_since{};
+  bool is_lease_ending = false;
+  bool is_changing = false;  ///< From PlanChange until that is decided.
   int term = 0;
 };
 
--- a/src/router/owner_directory.cc
+++ b/src/router/owner_directory.cc
@@ -1,15 +1,10 @@
 #include "router/owner_directory.h"
 
+#include <algorithm>
+
 #include "core/events.h"
 
 namespace currantbeam {
-namespace {
-
-/// Reads of the store, however many requests find their owner wrong.
-constexpr auto kLeastReadInterval = std::chrono::milliseconds(500);
-
-}  // namespace
-
 auto OwnerDirectory::Find(const ServiceName& service, int key) const
     -> const KeyOwner* {
   if (key < 0 || key >= kKeyCount) return nullptr;
@@ -38,6 +33,7 @@
   try {
     known.map = OwnerMap::Decode(row.value);
     known.version = row.version;
+    this->read_interval = kLeastReadInterval;
   } catch (const InputError& error) {
     Log(events::kOwnersUnread,
         {{"service", row.name.key}, {"error", error.what()}});
@@ -56,20 +52,24 @@
     known.map.Assign(change.stripe, change.owner, change.fence);
   }
   known.version = update.version;
+  this->read_interval = kLeastReadInterval;
 }
 
 auto OwnerDirectory::OnKeeperVersion(const ServiceName& service,
                                      StoreVersion version) -> void {
-  if (this->services[service].version < version) this->AskForRead();
+  if (this->services[service].version >= version) return;
+  this->read_interval = kLeastReadInterval;
+  this->AskForRead();
 }
 
 auto OwnerDirectory::TakeRead() -> bool {
   const auto now = this->clock.Now();
-  if (!this->is_read_due || now - this->read_at < kLeastReadInterval) {
+  if (!this->is_read_due || now - this->read_at < this->read_interval) {
     return false;
   }
   this->is_read_due = false;
   this->read_at = now;
+  this->read_interval = std::min(2 * this->read_interval, kMostReadInterval);
   return true;
 }
 
--- a/src/router/owner_directory.h
+++ b/src/router/owner_directory.h
@@ -47,10 +47,16 @@
     StoreVersion version = 0;
   };
 
+  /// Reads, however many requests find their owner wrong; more seldom while
+  /// they bring nothing new.
+  static constexpr Duration kLeastReadInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kMostReadInterval = std::chrono::seconds(4);
+
   const Clock& clock;
   std::unordered_map<ServiceName, Known> services;
   bool is_read_due = true;
   TimePoint read_at{};
+  Duration read_interval = kLeastReadInterval;
 };
 
 }  // namespace currantbeam
--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -201,6 +201,89 @@
   EXPECT_EQ(granted_at.size(), 256U);
 }
 
+/// The store goes away: the lease is not renewed any more, and runs out.
+TEST(ServiceKeeper, LeavesKeysHeldForLongWhenItsLeaseRunsOut) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  constexpr int kStripes = 256;
+  ManualClock clock;
+  ServiceKeeper keeper(clock, GrantTiming());
+  const auto servers = MakeServers(8);
+  keeper.Load(OwnerMap(kStripes), 0);
+  std::map<int, TimePoint> held_until;
+  StoreVersion version = 0;
+  const auto play = [&](Duration length, Duration lease_left, bool is_renewed) {
+    const auto began = clock.Now();
+    while (clock.Now() < began + length) {
+      clock.Advance(milliseconds(50));
+      const auto passed = is_renewed ? Duration(0) : clock.Now() - began;
+      keeper.SetServers(servers, {});
+      keeper.SetLeaseLeft(lease_left - passed);
+      for (const auto& order : keeper.TakeOrders()) {
+        if (order.kind != KeyOrder::Kind::kGrant) continue;
+        held_until[order.stripe] = clock.Now() + order.hold;
+        keeper.OnGrantReply(order, GrantReply::kAccepted);
+      }
+      if (is_renewed && keeper.PlanChange()) keeper.OnCommitted(++version);
+    }
+  };
+  play(seconds(20), seconds(3), true);
+  play(seconds(3), seconds(3), false);
+  ASSERT_EQ(held_until.size(), static_cast<std::size_t>(kStripes));
+  // The store may be away for 12 s from when the lease was last renewed.
+  const auto bridged = clock.Now() + seconds(8);
+  for (const auto& [stripe, until] : held_until) EXPECT_GE(until, bridged);
+}
+
+/// A server leaves while the store is away: its keys cannot be given to
+/// others, and all others' keys stay granted for as long as the lease lasts.
+TEST(KeptService, GoesOnGrantingWhenAChangeGetsNoAnswer) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  constexpr int kStripes = 64;
+  ManualClock clock;
+  MemoryStore store(clock);
+  KeeperLease lease(store, clock, {"a", "1:1"});
+  KeptService service(ServiceName("s"), store, clock, lease, GrantTiming(),
+                      kStripes);
+  auto servers = MakeServers(8);
+  TimePoint lease_due{};
+  std::map<int, TimePoint> granted_at;
+  const auto play = [&](Duration length) {
+    const auto until = clock.Now() + length;
+    while (clock.Now() < until) {
+      clock.Advance(milliseconds(50));
+      if (clock.Now() >= lease_due) lease_due = clock.Now() + lease.Step();
+      service.LoadIfDue();
+      if (!lease.IsHeld()) continue;
+      for (const auto& order : service.TakeOrders(servers)) {
+        if (order.kind == KeyOrder::Kind::kGrant) {
+          granted_at[order.stripe] = clock.Now();
+          service.Keeper().OnGrantReply(order, GrantReply::kAccepted);
+        } else {
+          service.Keeper().OnReleaseReply(order, {true, false, "x"});
+        }
+      }
+      service.CommitChanges();
+    }
+  };
+  play(seconds(10));
+  ASSERT_EQ(granted_at.size(), static_cast<std::size_t>(kStripes));
+  store.SetDown(true);
+  const auto down_at = clock.Now();
+  int kept = 0;
+  for (int i = 0; i < kStripes; ++i) {
+    const auto* owner = service.Keeper().Map().OwnerOf(i);
+    kept += owner->id == servers.back().owner.id ? 0 : 1;
+  }
+  servers.pop_back();
+  play(seconds(5));
+  const auto renewed = std::count_if(
+      granted_at.begin(), granted_at.end(),
+      [&](const auto& grant) { return grant.second > down_at + seconds(1); });
+  EXPECT_EQ(renewed, kept);
+}
+
 class KeeperLeaseTest : public testing::Test {
  protected:
   ManualClock clock;
@@ -264,6 +347,21 @@
   EXPECT_EQ(this->a.Term(), 2);
 }
 
+TEST_F(KeeperLeaseTest, AsksSeldomWhileTheStoreIsAway) {
+  this->a.Step();
+  this->store.SetDown(true);
+  const auto until = this->clock.Now() + std::chrono::seconds(10);
+  int calls = 0;
+  while (this->clock.Now() < until) {
+    ++calls;
+    this->clock.Advance(this->b.Step());
+  }
+  EXPECT_LE(calls, 10);
+  this->store.SetDown(false);
+  this->clock.Advance(this->b.Step());
+  EXPECT_TRUE(this->b.IsHeld());
+}
+
 TEST_F(KeeperLeaseTest, GoesOnAfterAnAnswerWasLost) {
   this->a.Step();
   this->store.LoseAnswers(1);
--- a/tests/keys/owner_world.cc
+++ b/tests/keys/owner_world.cc
@@ -212,6 +212,7 @@
     host.service.Keeper().OnAddressReused(entry.address, entry.port, entry.id,
                                           entry.started);
   }
+  host.service.LoadIfDue();
   const auto orders = host.service.TakeOrders(known);
   for (const auto& order : orders) this->Send(index, order);
   host.service.CommitChanges();
@@ -289,7 +290,7 @@
     if (call.is_answered) this->Reply(call, GrantReply::kStaleFence, {});
     return;
   }
-  const auto length = static_cast<double>(GrantTiming().hold.count());
+  const auto length = static_cast<double>(call.order.hold.count());
   const auto until =
       call.arrives + Duration(static_cast<std::int64_t>(length * kSlowClock));
   hold.seen = call.order.fence;
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -309,6 +309,24 @@
   EXPECT_TRUE(this->directory.TakeRead());
 }
 
+TEST_F(OwnerDirectoryTest, ReadsSeldomWhileNothingNewIsFound) {
+  this->directory.OnRow(this->Row(5));
+  const auto reads_in = [this](std::chrono::seconds length) {
+    int reads = 0;
+    for (auto at = milliseconds(0); at < length; at += milliseconds(100)) {
+      this->clock.Advance(milliseconds(100));
+      this->directory.AskForRead();
+      if (this->directory.TakeRead()) ++reads;
+    }
+    return reads;
+  };
+  EXPECT_LE(reads_in(std::chrono::seconds(12)), 6);
+  this->directory.OnKeeperVersion(ServiceName("s"), 6);
+  EXPECT_GE(reads_in(std::chrono::seconds(1)), 1);
+  this->directory.OnRow(this->Row(6));
+  EXPECT_GE(reads_in(std::chrono::seconds(1)), 1);
+}
+
 TEST_F(OwnerDirectoryTest, NeverGoesBackToAnOlderVersion) {
   this->directory.OnRow(this->Row(9));
   OwnerUpdate update;
