--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -95,9 +95,8 @@
   ++this->runs[request_id];
   if (this->events != nullptr) {
     const auto key = Header(exchange.Request(), "X-Shard-Key");
-    const long number =
-        key.empty() ? -1 : std::strtol(key.c_str(), nullptr, 10);
-    this->events->OnRun(request_id, static_cast<int>(number));
+    const int number = key.empty() ? -1 : std::atoi(key.c_str());
+    this->events->OnRun(request_id, number);
   }
   this->deadlines.push_back(
       std::atoi(Header(exchange.Request(), "X-Deadline-Ms").c_str()));
