--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -7,24 +7,12 @@
 #include <map>
 #include <set>
 
+#include "keys/made_servers.h"
 #include "store/store.h"
 
 namespace currantbeam {
 namespace {
 
-auto MakeOwner(int number) -> KeyOwner {
-  return {ServerId("s" + std::to_string(number)),
-          std::chrono::milliseconds(1000 + number), "10.0.0.1",
-          static_cast<std::uint16_t>(8000 + number)};
-}
-
-auto MakeServers(int count) -> std::vector<PlannedServer> {
-  std::vector<PlannedServer> servers;
-  servers.reserve(count);
-  for (int i = 0; i < count; ++i) servers.push_back({MakeOwner(i), 4});
-  return servers;
-}
-
 auto DealAll(OwnerMap& map, const std::vector<PlannedServer>& servers) -> void {
   const std::vector<bool> vacant(map.StripeCount(), true);
   const auto fence = map.NextFence();
--- a/tests/keys/load_test.cc
+++ b/tests/keys/load_test.cc
@@ -5,22 +5,11 @@
 #include <random>
 
 #include "keys/keys.h"
+#include "keys/made_servers.h"
 
 namespace currantbeam {
 namespace {
 
-auto MakeServers(int count) -> std::vector<PlannedServer> {
-  std::vector<PlannedServer> servers;
-  servers.reserve(count);
-  for (int i = 0; i < count; ++i) {
-    const KeyOwner owner = {ServerId("s" + std::to_string(i)),
-                            std::chrono::milliseconds(1000 + i), "10.0.0.1",
-                            static_cast<std::uint16_t>(8000 + i)};
-    servers.push_back({owner, 4});
-  }
-  return servers;
-}
-
 TEST(ShareLoad, GivesFastServersMostWhileThereIsLittleToDo) {
   using std::chrono::milliseconds;
   const std::vector<ServerCapacity> servers = {{4, milliseconds(50)},
--- /dev/null
+++ b/tests/keys/made_servers.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "keys/keys.h"
+
+namespace currantbeam {
+
+/// @return one life of a server named `s` and its number.
+inline auto MakeOwner(int number) -> KeyOwner {
+  return {ServerId("s" + std::to_string(number)),
+          std::chrono::milliseconds(1000 + number), "10.0.0.1",
+          static_cast<std::uint16_t>(8000 + number)};
+}
+
+/// @return servers of equal weight, numbered from 0.
+inline auto MakeServers(int count) -> std::vector<PlannedServer> {
+  std::vector<PlannedServer> servers;
+  servers.reserve(count);
+  for (int i = 0; i < count; ++i) servers.push_back({MakeOwner(i), 4});
+  return servers;
+}
+
+}  // namespace currantbeam
--- a/tests/router/backend_chooser_test.cc
+++ b/tests/router/backend_chooser_test.cc
@@ -3,6 +3,7 @@
 #include <deque>
 #include <string>
 
+#include "router/made_entry.h"
 #include "router/router.h"
 
 namespace currantbeam {
@@ -10,18 +11,6 @@
 
 using std::chrono::milliseconds;
 
-auto MakeEntry(const std::string& id, int port) -> BackendEntry {
-  BackendEntry entry;
-  entry.id = ServerId(id);
-  entry.service = ServiceName("s");
-  entry.address = "10.0.0.1";
-  entry.port = static_cast<std::uint16_t>(port);
-  entry.domain = FailureDomain("x");
-  entry.slots = 4;
-  entry.started = milliseconds(1);
-  return entry;
-}
-
 TEST(BackendChooser, PrefersNearServersMostForDownloads) {
   ManualClock clock;
   BackendDirectory directory(clock);
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -8,6 +8,7 @@
 #include "fiber_test.h"
 #include "router/backend_chooser.h"
 #include "router/forwarded_request.h"
+#include "router/made_entry.h"
 #include "router/owner_directory.h"
 #include "router/route_table.h"
 
@@ -24,18 +25,6 @@
   return route;
 }
 
-auto MakeEntry(const std::string& id, int port) -> BackendEntry {
-  BackendEntry entry;
-  entry.id = ServerId(id);
-  entry.service = ServiceName("s");
-  entry.address = "10.0.0.1";
-  entry.port = static_cast<std::uint16_t>(port);
-  entry.domain = FailureDomain("x");
-  entry.slots = 4;
-  entry.started = milliseconds(1);
-  return entry;
-}
-
 TEST(RouteTable, TakesTheLongestPrefixOfTheHost) {
   RouteConfig config;
   config.hosts["a"] = {MakeRoute("one", "/x/"), MakeRoute("two", "/x/y/")};
