Bound the servers looked at for a request; give latencies as durations

Read as a newcomer: comparing 12 near servers walked the whole list of a service where few are near, a cost per request that grows with the servers; and TypicalLatency and LatencySample gave times as plain numbers, against the house rule. At most 128 servers are looked at now, unless none of them has room (FindsTheOneServerWithRoomAmongThousands; red when the bound ignores that), and all signatures take std::chrono.

--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -45,7 +45,7 @@
 
 auto BackendLoad::ExpectedLatency(TimePoint now) const -> Duration {
   const auto silent = std::max(now - this->last_answer, Duration(0));
-  const double usual = this->typical->Microseconds();
+  const auto usual = static_cast<double>(this->typical->Value().count());
   double expected = this->latency_us.value_or(kUnseenPart * usual);
   if (this->in_flight == 0 && expected > usual) {
     const double halves = static_cast<double>(silent.count()) /
@@ -83,8 +83,8 @@
   this->failures_in_row = 0;
   this->ejection = Duration(0);
   this->last_answer = now;
-  const double before =
-      this->latency_us.value_or(this->typical->Microseconds());
+  const auto usual = static_cast<double>(this->typical->Value().count());
+  const double before = this->latency_us.value_or(usual);
   const double average =
       before + kLatencyWeight * (static_cast<double>(latency.count()) - before);
   this->latency_us = average;
--- a/src/backends/typical_latency.h
+++ b/src/backends/typical_latency.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "core/core.h"
 
 namespace currantbeam {
@@ -16,7 +18,9 @@
     this->value_us +=
         kWeight * (static_cast<double>(latency.count()) - this->value_us);
   }
-  [[nodiscard]] auto Microseconds() const -> double { return this->value_us; }
+  [[nodiscard]] auto Value() const -> Duration {
+    return Duration(static_cast<std::int64_t>(this->value_us));
+  }
 
  private:
   /// Weight of the newest answer.
--- a/src/keys/latency_sample.h
+++ b/src/keys/latency_sample.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -11,14 +12,14 @@
 /// many, whenever it came.
 class LatencySample {
  public:
-  auto Add(int latency_ms) -> void;
+  auto Add(std::chrono::milliseconds latency) -> void;
   /// @return how many latencies are known, up to a limit.
   [[nodiscard]] auto Count() const -> int {
     return static_cast<int>(this->count);
   }
   /// @param part  of the latencies that are to lie below, from 0 to 1.
-  /// @return in milliseconds; 0 if none are known.
-  [[nodiscard]] auto Quantile(double part) const -> double;
+  /// @return the latency below which they lie; 0 if none are known.
+  [[nodiscard]] auto Quantile(double part) const -> std::chrono::milliseconds;
 
  private:
   static constexpr std::size_t kMost = 64;
--- a/src/keys/load_view.cc
+++ b/src/keys/load_view.cc
@@ -60,7 +60,9 @@
   this->other_arriving += load.other_requests;
   for (const auto& [id, latencies] : load.latencies_ms) {
     auto& sample = this->latencies[id];
-    for (const int latency : latencies) sample.Add(latency);
+    for (const int latency : latencies) {
+      sample.Add(std::chrono::milliseconds(latency));
+    }
   }
 }
 
@@ -136,7 +138,8 @@
   }
 }
 
-auto LoadView::LatencyOf(const ServerId& id) const -> std::optional<double> {
+auto LoadView::LatencyOf(const ServerId& id) const
+    -> std::optional<std::chrono::milliseconds> {
   const auto it = this->latencies.find(id);
   if (it == this->latencies.end()) return std::nullopt;
   if (it->second.Count() < kLeastSamples) return std::nullopt;
@@ -144,8 +147,8 @@
 }
 
 auto LoadView::MeanLatency(const std::vector<PlannedServer>& servers) const
-    -> double {
-  double sum = 0;
+    -> std::optional<Duration> {
+  Duration sum{0};
   int known = 0;
   for (const auto& server : servers) {
     const auto latency = this->LatencyOf(server.owner.id);
@@ -156,30 +159,32 @@
   // Until most are known, a server that seems slow may be like the others.
   const bool is_enough =
       known != 0 && known * 2 >= static_cast<int>(servers.size());
-  return is_enough ? sum / known : 0;
+  if (!is_enough) return std::nullopt;
+  return sum / known;
 }
 
-auto LoadView::CapacityOf(const ServerId& id, int slots,
-                          double mean_latency_ms) const -> ServerCapacity {
-  double sum = kMeanSamples * mean_latency_ms;
+auto LoadView::CapacityOf(const ServerId& id, int slots, Duration mean) const
+    -> ServerCapacity {
+  Duration sum = kMeanSamples * mean;
   int samples = kMeanSamples;
   if (const auto it = this->latencies.find(id); it != this->latencies.end()) {
     sum += it->second.Count() * it->second.Quantile(kQuantile);
     samples += it->second.Count();
   }
-  const double time_us = sum / samples * kMeanPerQuantile * 1000;
-  return {slots, Duration(static_cast<std::int64_t>(time_us))};
+  const double time = static_cast<double>(sum.count()) / samples;
+  return {slots, Duration(static_cast<std::int64_t>(time * kMeanPerQuantile))};
 }
 
 auto LoadView::Parts(const std::vector<PlannedServer>& servers,
                      const std::vector<int>& slots) const
     -> std::vector<double> {
-  const double mean = this->MeanLatency(servers);
-  if (mean <= 0) return {};
+  const auto mean = this->MeanLatency(servers);
+  if (!mean) return {};
   std::vector<ServerCapacity> capacities;
   double total = 0;
   for (std::size_t i = 0; i < servers.size(); ++i) {
-    capacities.push_back(this->CapacityOf(servers[i].owner.id, slots[i], mean));
+    capacities.push_back(
+        this->CapacityOf(servers[i].owner.id, slots[i], *mean));
     total += capacities.back().RequestsPerSecond();
   }
   return ShareLoad(capacities, std::max(this->peak_rate * kHeadroom,
--- a/src/keys/load_view.h
+++ b/src/keys/load_view.h
@@ -33,21 +33,21 @@
  private:
   /// Drops what is known of servers that have long gone.
   auto ForgetOthers() -> void;
-  /// @return the latency that shows the server's speed, in milliseconds;
-  ///   nothing while too few answers are known.
+  /// @return the latency that shows the server's speed; nothing while too few
+  ///   answers are known.
   [[nodiscard]] auto LatencyOf(const ServerId& id) const
-      -> std::optional<double>;
+      -> std::optional<std::chrono::milliseconds>;
   /// @return the servers' parts of the load; empty while too little is known.
   [[nodiscard]] auto Parts(const std::vector<PlannedServer>& servers,
                            const std::vector<int>& slots) const
       -> std::vector<double>;
-  /// @return the server's capacity, by the mean of all if its speed is not
-  ///   known.
+  /// @param mean  of all servers' latencies, by which a server is judged of
+  ///   which little is known.
   [[nodiscard]] auto CapacityOf(const ServerId& id, int slots,
-                                double mean_latency_ms) const -> ServerCapacity;
-  /// @return the mean of the known speeds; 0 if too few are known.
-  [[nodiscard]] auto MeanLatency(
-      const std::vector<PlannedServer>& servers) const -> double;
+                                Duration mean) const -> ServerCapacity;
+  /// @return the mean of the known latencies; nothing if too few are known.
+  [[nodiscard]] auto MeanLatency(const std::vector<PlannedServer>& servers)
+      const -> std::optional<Duration>;
   [[nodiscard]] auto TotalRate() const -> double;
 
   std::vector<double> rates;  ///< Requests a second, by stripe.
--- a/src/router/backend_chooser.cc
+++ b/src/router/backend_chooser.cc
@@ -8,6 +8,8 @@
 /// Servers with room that are compared for one request.
 constexpr int kMostNear = 12;
 constexpr int kMostFar = 4;
+/// Servers that are looked at, however few are near, unless none has room.
+constexpr std::size_t kMostLooked = 128;
 /// How much longer a near server may take to be preferred to a far one.
 constexpr double kFarPenalty = 1.3;
 constexpr double kFarPenaltyDownload = 3.0;
@@ -35,6 +37,7 @@
   int near = 0;
   int far = 0;
   for (std::size_t i = 0; i < servers.size(); ++i) {
+    if (best != nullptr && i >= kMostLooked) break;
     const auto& target = servers[(start + i) % servers.size()];
     const bool is_near = target->entry.domain == this->domain;
     int& compared = is_near ? near : far;
--- a/tests/router/backend_chooser_test.cc
+++ b/tests/router/backend_chooser_test.cc
@@ -45,6 +45,24 @@
   EXPECT_EQ(chooser.Choose(servers, kind, {ServerId("a")}), nullptr);
 }
 
+TEST(BackendChooser, FindsTheOneServerWithRoomAmongThousands) {
+  constexpr int kServers = 2000;
+  ManualClock clock;
+  BackendDirectory directory(clock);
+  for (int i = 0; i < kServers; ++i) {
+    directory.Apply(MakeEntry("s" + std::to_string(i), i));
+  }
+  const auto& servers = directory.Ready(ServiceName("s"));
+  const auto free = directory.Find(ServerId("s1234"));
+  for (const auto& target : servers) {
+    while (target != free && target->load.HasRoom()) target->load.OnSent();
+  }
+  BackendChooser chooser(clock, FailureDomain("x"));
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(chooser.Choose(servers, RequestKind::kIdempotent, {}), free);
+  }
+}
+
 /// Many servers of three speeds in four failure domains, of which one gateway
 /// of many sees little.
 TEST(BackendChooser, KeepsMostRequestsNearWhereThereAreManyServers) {
