Write the stand-ins' main once; check how routers end in the soak

The soak's check for crashes missed a router that dies on its way out of a stop, and one that outlasts its grace; it looks at each life's exit code now, and says when key ranges overlap that it doesn't compare. The stand-in server counted a grant that was waiting while it was paused from when it read it, where servers count from its arrival; it now counts from before the pause, so that it can't show two owners where there are none.

--- a/src/standins/platform/main.cc
+++ b/src/standins/platform/main.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/platform.h"
-#include "program/program.h"
+#include "standins/standin_program.h"
 
 namespace currantbeam {
 namespace {
@@ -62,46 +62,20 @@
 
 auto Main(int argc, char** argv) -> int {
   namespace options = boost::program_options;
-  std::string address;
-  std::uint16_t port = 0;
+  constexpr std::uint64_t kMostBody = 256 * 1024 * 1024;
+  StandinAddress address;
   std::string hosts_path;
   options::options_description description("Options");
-  description.add_options()("help,h", "print this help and exit")(
-      "address", options::value(&address)->default_value("127.0.0.1"),
-      "IP number to listen on")("port", options::value(&port)->required(),
-                                "port to listen on")(
-      "hosts", options::value(&hosts_path)->required(),
-      "JSON file with the host list");
-  try {
-    options::variables_map values;
-    options::store(options::parse_command_line(argc, argv, description),
-                   values);
-    if (values.count("help") != 0) {
-      std::cout << description;
-      return kExitOk;
-    }
-    options::notify(values);
-    std::ifstream file(hosts_path);
-    if (!file) throw Error(hosts_path + ": cannot be read");
-    PlatformHandler handler(nlohmann::json::parse(file).get<HostList>());
-    FiberLoop loop;
-    HttpServer::Options server_options;
-    server_options.address = address;
-    server_options.port = port;
-    constexpr std::uint64_t kMaxBody = 256 * 1024 * 1024;
-    server_options.limits.body_bytes = kMaxBody;
-    HttpServer server(server_options, handler);
-    StopSignal stop(loop, [&loop] { loop.Stop(); });
-    server.Listen(loop);
-    loop.Run();
-    return kExitOk;
-  } catch (const options::error& error) {
-    std::cerr << "currantbeam-standin-platform: " << error.what() << "\n";
-    return kExitUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "currantbeam-standin-platform: " << error.what() << "\n";
-    return kExitFailure;
-  }
+  address.Describe(description);
+  description.add_options()("hosts", options::value(&hosts_path)->required(),
+                            "JSON file with the host list");
+  return RunStandin(
+      argc, argv, "currantbeam-standin-platform", description, [&] {
+        std::ifstream file(hosts_path);
+        if (!file) throw Error(hosts_path + ": cannot be read");
+        PlatformHandler handler(nlohmann::json::parse(file).get<HostList>());
+        ServeUntilStopped(address, handler, kMostBody);
+      });
 }
 
 }  // namespace
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr auto kPoll = std::chrono::milliseconds(1);
+constexpr auto kWatchInterval = std::chrono::milliseconds(20);
+/// A clock that moves on by this much at once shows a pause.
+constexpr auto kLeastPause = std::chrono::milliseconds(200);
+/// What arrived in a pause is read within this time after it.
+constexpr auto kBacklog = std::chrono::milliseconds(200);
 
 auto Header(const HttpRequest& request, const char* name) -> std::string {
   const auto value = request[name];
@@ -25,6 +30,30 @@
   this->HandleRequest(exchange);
 }
 
+auto WireBackend::WatchForPauses() -> void {
+  this->watched_at = this->clock.Now();
+  while (true) {
+    SleepFor(kWatchInterval);
+    const auto now = this->clock.Now();
+    if (now - this->watched_at > kLeastPause) {
+      this->paused_from = this->watched_at;
+      this->resumed_at = now;
+    }
+    this->watched_at = now;
+  }
+}
+
+auto WireBackend::ArrivalTime() const -> TimePoint {
+  const auto now = this->clock.Now();
+  const bool is_watched = this->watched_at != TimePoint{};
+  if (is_watched && now - this->watched_at > kLeastPause) {
+    return this->watched_at;
+  }
+  const bool has_resumed =
+      this->resumed_at != TimePoint{} && now - this->resumed_at < kBacklog;
+  return has_resumed ? this->paused_from : now;
+}
+
 auto WireBackend::HandleGrant(HttpExchange& exchange, bool is_release) -> void {
   const auto json = nlohmann::json::parse(exchange.Request().body());
   const auto fence = json.at("fence").get<std::uint64_t>();
@@ -32,7 +61,7 @@
   const int last = json.at("target").get<int>();
   const std::chrono::duration<double> hold(json.value("holdS", 0.0));
   const auto until =
-      this->clock.Now() + std::chrono::duration_cast<Duration>(hold);
+      this->ArrivalTime() + std::chrono::duration_cast<Duration>(hold);
   for (int key = first; key <= last && !is_release; ++key) {
     if (fence >= this->holds[key].seen) continue;
     exchange.Send(HttpResponse{http::status::conflict, 11});
--- a/src/standins/wire/wire_backend.h
+++ b/src/standins/wire/wire_backend.h
@@ -49,6 +49,10 @@
 
   WireBackendBehaviour behaviour;
 
+  /// Notes pauses of the process, for as long as the loop runs. Call in a
+  /// fiber of its own where the process may be paused.
+  auto WatchForPauses() -> void;
+
   /// @return how often each request id was run.
   [[nodiscard]] auto Runs() const -> const std::map<std::string, int>& {
     return this->runs;
@@ -71,6 +75,9 @@
   };
 
   auto HandleGrant(HttpExchange& exchange, bool is_release) -> void;
+  /// @return when what is read now may have arrived: while the process was
+  ///   paused, holds counted from before it.
+  [[nodiscard]] auto ArrivalTime() const -> TimePoint;
   auto HandleRequest(HttpExchange& exchange) -> void;
   auto RunRequest(HttpExchange& exchange, const std::string& request_id)
       -> void;
@@ -82,6 +89,9 @@
   std::string id;
   WireBackendEvents* events;
   SteadyClock clock;
+  TimePoint watched_at{};   ///< When the watch last saw the clock.
+  TimePoint paused_from{};  ///< The last pause.
+  TimePoint resumed_at{};
   std::map<int, Hold> holds;  ///< By key.
   std::map<std::string, int> runs;
   std::vector<int> deadlines;
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -60,6 +60,9 @@
 
     ends: when each life of a server was killed, as a dead one holds nothing."""
     found = []
+    ranges = sorted({(first, last) for first, last, *_ in holds})
+    found += [f"keys {a} and {b} overlap, which this check does not compare"
+              for a, b in zip(ranges, ranges[1:]) if b[0] <= a[1]]
     by_range = collections.defaultdict(list)
     for first, last, start, until, life in holds:
         until = min(until, ends.get(life, until))
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -1,5 +1,6 @@
 """Shows that each check of the soak finds what it is there for."""
 
+import os
 import pathlib
 import tempfile
 import types
@@ -7,6 +8,7 @@
 
 import checks
 from callers import Request
+from deployment import Process
 
 
 def request(number, kind="unsafe", outcome=200, router="front-0", at=1.0):
@@ -41,6 +43,7 @@
         self.assertEqual(len(checks.check_owners(both, holds, {})), 1)
         self.assertEqual(checks.check_owners({"1": [(60, 7, "a")]}, holds, {}), [])
         self.assertEqual(checks.check_owners(both, holds, {"a": 40}), [])
+        self.assertEqual(len(checks.check_owners({}, [(0, 31, 0, 9, "a"), (16, 47, 0, 9, "b")], {})), 1)
 
     def test_cut_by_a_stop(self):
         cut = request(1, outcome="closed")
@@ -53,6 +56,16 @@
         self.assertEqual(len(checks.check_recovery([], 0.5)), 1)
         self.assertEqual(checks.check_recovery([request(1)], 0.5), [])
 
+    def test_ends_of_processes(self):
+        with tempfile.TemporaryDirectory() as folder:
+            for words, wanted in ((["true"], False), (["sleep", "60"], True)):
+                process = Process(words, {"PATH": os.environ["PATH"]}, pathlib.Path(folder) / "log")
+                if words[0] == "true":
+                    process.popen.wait()
+                else:
+                    process.end()
+                self.assertEqual(process.is_end_wanted(), wanted)
+
     def test_reads_what_servers_print(self):
         with tempfile.TemporaryDirectory() as folder:
             log = pathlib.Path(folder) / "s.log"
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -25,14 +25,15 @@
         self.out = out
         self.popen = subprocess.Popen(words, env=env, stdout=open(out, "ab"), stderr=subprocess.STDOUT)
         self.paused_at = None
-        self.ended_by_us = False
+        self.was_killed = self.was_stopped = False
 
     def is_up(self):
         return self.popen.poll() is None
 
     def send(self, number):
         if self.is_up():
-            self.ended_by_us |= number in (signal.SIGKILL, signal.SIGTERM)
+            self.was_killed |= number == signal.SIGKILL
+            self.was_stopped |= number == signal.SIGTERM
             self.popen.send_signal(number)
 
     def pause(self):
@@ -43,6 +44,11 @@
         self.send(signal.SIGCONT)
         self.paused_at = None
 
+    def is_end_wanted(self):
+        """Whether the process runs, was killed, or ended well after it was told to stop."""
+        code = self.popen.poll()
+        return code is None or (self.was_killed and code == -signal.SIGKILL) or (self.was_stopped and code == 0)
+
     def end(self):
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
@@ -65,12 +71,14 @@
             "bounds": {"graceS": GRACE_S, "budgetRatio": 0.2, "budgetExtra": 60, "holdMaxS": 10},
             "platform": {"addr": f"127.0.0.1:{port + 100 + number}"}}))
         self.process = None
+        self.lives = []           # the processes of all lives
         self.term_at = None
 
     def start(self):
         self.process = Process([str(self.deployment.build / "platform/currantbeam-router")],
                                {"CURRANTBEAM_BOOT": str(self.settings)},
                                self.deployment.out / f"{self.name}.log")
+        self.lives.append(self.process)
         self.term_at = None
 
 
@@ -188,9 +196,10 @@
         for proxy in [r.store_link for r in self.routers] + [s.link for s in self.servers]:
             proxy.heal()
 
-    def crashed(self):
-        """Names of routers that ended though nobody ended them."""
-        return [r.name for r in self.routers if r.process and not r.process.is_up() and not r.process.ended_by_us]
+    def crashes(self):
+        """What routers ended though nobody ended them, or with an error after they were told to stop."""
+        processes = [(r.name, p) for r in self.routers for p in r.lives]
+        return [f"{name} ended with code {p.popen.returncode}" for name, p in processes if not p.is_end_wanted()]
 
     def stop(self):
         parts = [self.store] + [p.process for p in self.routers + self.servers]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,7 @@
         self.server_ends = {}     # when a life of a server was killed, in us
         self.unplanned = []       # (from, until) of faults other than planned work
         self.stops = []           # (router, from, until)
+        self.overdue = []         # routers that had to be killed after their grace
 
     def note(self, what):
         self.log.write(f"{time.monotonic():.3f} {what}\n")
@@ -94,6 +95,8 @@
         while router.process.is_up() and time.monotonic() < began + GRACE_S:
             await asyncio.sleep(0.02)
         self.stops.append((router.name, began, time.monotonic()))
+        if router.process.is_up():
+            self.overdue.append(router.name)
         router.process.send(signal.SIGKILL)
         self.restart(router)
 
@@ -199,14 +202,14 @@
             history.note("all faults are over")
             calm_from = time.monotonic() + RECOVER_S
             await asyncio.sleep(RECOVER_S + CALM_S)
-            crashed = deployment.crashed()
+            crashes = deployment.crashes()
             for task in tasks + [entries]:
                 task.cancel()
             await asyncio.gather(*tasks, entries, return_exceptions=True)
         finally:
             deployment.stop()
     runs, holds = checks.read_servers(deployment)
-    problems = [f"{name} ended by itself" for name in crashed]
+    problems = crashes + [f"{name} did not stop within its grace" for name in history.overdue]
     problems += checks.check_answers(requests)
     problems += checks.check_runs(requests, runs)
     problems += checks.check_owners(runs, holds, history.server_ends)
