Make fewer calls to a store that fails, and on the first start of a fleet

Change: CircuitBreakerStore: one probe for all tables of a host, with a delay that doubles up to 1.5 s (0.3 s for the coordinator). After a poll that returned changes a host without updates waits for a second. A host that starts waits for its first report's reply before it reads the owners.

As hosts are ready sooner, the limits of requests in flight follow the number of hosts at once: a limit that only the assumed number of hosts had bounded stayed there and refused requests (Shutdown.CompletesRequestsInFlight failed eight times of eight on the way).

--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -77,8 +77,13 @@
 }
 
 auto BackendLoad::SetGatewayCount(int gateways) -> void {
+  const bool was_bounded = this->limit >= this->max_limit;
   const double share = kMaxFleetInFlightPerSlot * this->slots / gateways;
   this->max_limit = std::clamp(share, 1.0, kMaxInFlightPerSlot * this->slots);
+  // A limit that only the number of gateways kept below its initial value
+  // returns to it; a host that starts assumes a large number at first.
+  const auto initial = static_cast<double>(this->slots);
+  if (was_bounded) this->limit = std::max(this->limit, initial);
   this->limit = std::min(this->limit, this->max_limit);
 }
 
--- a/src/keys/coordinator_lease.cc
+++ b/src/keys/coordinator_lease.cc
@@ -16,6 +16,19 @@
 
 }  // namespace
 
+auto CoordinatorLease::FirstStepDelay() -> Duration {
+  const bool is_preferred = this->options.yield_delay == Duration(0);
+  if (!this->options.is_first_start || is_preferred) return Duration(0);
+  // The yield delay counts from now, as the lease is known to be free.
+  this->free_since = this->clock.Now();
+  return this->options.yield_delay + this->Jitter();
+}
+
+auto CoordinatorLease::Jitter() const -> Duration {
+  const auto seed = std::hash<std::string>()(this->options.holder);
+  return Duration(seed % Duration(kMaxJitter).count());
+}
+
 auto CoordinatorLease::Step() -> Duration {
   if (this->version != 0 && this->IsHeld()) return this->AcquireOrRenew();
   return this->ReadLease();
@@ -44,10 +57,8 @@
   if (is_free && !this->HasYielded()) return this->options.yield_delay;
   if (is_free) return this->AcquireOrRenew();
   this->free_since.reset();
-  const auto seed = std::hash<std::string>()(this->options.holder);
-  const auto jitter = Duration(seed % Duration(kMaxJitter).count());
   return this->record->expires_at - batch.store_time + kPollAfterExpiry +
-         jitter;
+         this->Jitter();
 }
 
 auto CoordinatorLease::HasYielded() -> bool {
--- a/src/keys/coordinator_lease.h
+++ b/src/keys/coordinator_lease.h
@@ -21,12 +21,18 @@
     /// How long this host leaves a free lease to other hosts before it acquires
     /// the lease itself. Zero for hosts that are preferred.
     Duration yield_delay{0};
+    /// Whether the whole fleet starts for the first time. Hosts that are not
+    /// preferred then leave the lease, which is free, to other hosts without
+    /// reading it first.
+    bool is_first_start = false;
   };
 
   /// @param clock  has to count the time in which the process is suspended.
   CoordinatorLease(StoreClient& store, const Clock& clock, Options options)
       : store(store), clock(clock), options(std::move(options)) {}
 
+  /// @return the delay until the first call of Step().
+  [[nodiscard]] auto FirstStepDelay() -> Duration;
   /// Acquires or renews the lease unless another host holds it. Failures of the
   /// store are retried by the next call.
   /// @return the delay until the next call.
@@ -66,6 +72,9 @@
   /// @return the delay until the next Step().
   auto ReadLease() -> Duration;
   auto NextRetryDelay() -> Duration;
+  /// @return a delay that differs between hosts, so that they don't read the
+  ///   same lease at the same time.
+  [[nodiscard]] auto Jitter() const -> Duration;
   /// @return whether the free lease was left to other hosts for the yield
   ///   delay.
   auto HasYielded() -> bool;
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -73,6 +73,7 @@
 }
 
 auto KeyCoordinator::RunLease() -> void {
+  SleepFor(this->lease.FirstStepDelay());
   while (!this->stopped) {
     const auto pause = this->StepLease();
     const bool is_held = this->lease.IsHeld();
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -52,13 +52,15 @@
 
 PeerExchange::PeerExchange(const RouterSettings& settings, const Clock& clock,
                            LoadRecorder& loads, OwnerDirectory& owners,
-                           FleetSize& fleet, RelayedStore& store)
+                           FleetSize& fleet, RelayedStore& store,
+                           Duration first_contact_timeout)
     : settings(settings),
       clock(clock),
       loads(loads),
       owners(owners),
       fleet(fleet),
       store(store),
+      first_contact_timeout(first_contact_timeout),
       server(ServerOptions(settings.peers), *this) {}
 
 auto PeerExchange::Start(FiberLoop& loop, KeyCoordinator& coordinator) -> void {
@@ -145,7 +147,15 @@
   return this->clock.Now() - peer.last_report_at <= kPeerReportTimeout;
 }
 
+auto PeerExchange::AwaitFirstContact() -> void {
+  const auto deadline = this->clock.Now() + this->first_contact_timeout;
+  while (this->last_contact_at == TimePoint{} && this->clock.Now() < deadline) {
+    SleepFor(kReadPollInterval);
+  }
+}
+
 auto PeerExchange::RunReadLoop() -> void {
+  this->AwaitFirstContact();
   while (true) {
     if (this->owners.StartReadIfDue()) this->ReadOwners();
     SleepFor(kReadPollInterval);
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -16,9 +16,11 @@
 /// then read from the coordinator or the store. Runs on one loop.
 class PeerExchange : public HttpHandler {
  public:
+  /// @param first_contact_timeout  how long a host that starts waits for the
+  ///   coordinator before it reads the owners from the store.
   PeerExchange(const RouterSettings& settings, const Clock& clock,
                LoadRecorder& loads, OwnerDirectory& owners, FleetSize& fleet,
-               RelayedStore& store);
+               RelayedStore& store, Duration first_contact_timeout);
 
   /// Starts listening, reporting and reading on the loop.
   auto Start(FiberLoop& loop, KeyCoordinator& coordinator) -> void;
@@ -43,6 +45,9 @@
   /// Reports this host's load to the coordinator, which may be on this host.
   auto Report() -> void;
   auto RunReadLoop() -> void;
+  /// Waits until the coordinator has accepted a report, at most for the first
+  /// contact timeout.
+  auto AwaitFirstContact() -> void;
   /// @return whether the coordinator accepted the report.
   auto SendReport(const LoadReport& report) -> bool;
   /// @return the coordinator's reply to the report.
@@ -69,6 +74,7 @@
   OwnerDirectory& owners;
   FleetSize& fleet;
   RelayedStore& store;
+  Duration first_contact_timeout;
   KeyCoordinator* coordinator = nullptr;
   HttpServer server;
   std::map<HostId, Peer> peers;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -15,6 +15,15 @@
 constexpr double kCoordinatorCpuCores = 0.5;
 constexpr double kCoordinatorLinkMbps = 100;
 constexpr auto kMaxLeaseYield = std::chrono::milliseconds(800);
+/// How long a host that starts waits for the coordinator's snapshots before it
+/// reads the store: long enough for an election on the first start of the
+/// fleet, and otherwise only for a reply to its first report.
+constexpr Duration kFirstStartTimeout = std::chrono::seconds(3);
+constexpr Duration kRestartTimeout = std::chrono::milliseconds(300);
+/// Longest delay between probes of a store that does not respond. The
+/// coordinator probes more often, as the other hosts rely on its updates.
+constexpr Duration kCoordinatorProbeDelay = std::chrono::milliseconds(300);
+constexpr Duration kStandbyProbeDelay = std::chrono::milliseconds(1500);
 constexpr auto kPeriodicTaskInterval = std::chrono::milliseconds(200);
 /// The loop counts as overloaded when a timer fires this late.
 constexpr auto kLateLoopThreshold = std::chrono::milliseconds(50);
@@ -45,6 +54,10 @@
                    settings.link_mbps / kCoordinatorLinkMbps, 1.0});
 }
 
+auto StartTimeout(const RouterSettings& settings) -> Duration {
+  return settings.is_first_start ? kFirstStartTimeout : kRestartTimeout;
+}
+
 auto CoordinatorOptions(const RouterSettings& settings)
     -> KeyCoordinator::Options {
   KeyCoordinator::Options options;
@@ -55,6 +68,7 @@
       settings.peers.address + ":" + std::to_string(settings.peers.port);
   options.lease.yield_delay =
       Scale(kMaxLeaseYield, 1 - CoordinatorCapacity(settings));
+  options.lease.is_first_start = settings.is_first_start;
   options.grant_timing = settings.grant_timing;
   return options;
 }
@@ -67,11 +81,13 @@
       dependencies(std::move(dependencies)),
       directory(this->clock),
       owners(this->clock),
-      store(this->dependencies.store, this->clock,
+      store_breaker(this->dependencies.store, this->clock),
+      store(this->store_breaker, this->clock,
             {this->dependencies.schema.RoutesTable(),
-             this->dependencies.schema.BackendsTable()}),
+             this->dependencies.schema.BackendsTable()},
+            StartTimeout(settings)),
       peer_exchange(settings, this->clock, this->loads, this->owners,
-                    this->fleet, this->store),
+                    this->fleet, this->store, StartTimeout(settings)),
       state(this->clock, this->dependencies.headers, this->directory,
             this->owners, this->loads, settings.domain),
       forwarder(this->state),
@@ -80,8 +96,8 @@
       readiness_server(OptionsFor(settings.readiness), this->readiness_handler),
       metrics_page(*this),
       metrics_server(OptionsFor(settings.metrics), this->metrics_page),
-      coordinator(this->dependencies.store, this->dependencies.grants,
-                  this->clock, this->directory, CoordinatorOptions(settings),
+      coordinator(this->store_breaker, this->dependencies.grants, this->clock,
+                  this->directory, CoordinatorOptions(settings),
                   [this](const OwnerUpdate& update) {
                     this->peer_exchange.Publish(update);
                   }),
@@ -137,6 +153,9 @@
     if (spec.is_keyed) keyed.insert(name);
   }
   this->coordinator.SetServices(keyed);
+  // Requests may arrive from now on, and the first limits depend on the number
+  // of hosts.
+  this->ApplyFleetSize();
   this->state.routes = std::make_shared<const RouteTable>(std::move(config));
   this->routes_applied_at = this->clock.Now();
 }
@@ -150,6 +169,9 @@
     this->directory.RemoveExpired();
     FlushLog();
     this->ApplyFleetSize();
+    this->store_breaker.SetMaxDelay(this->coordinator.IsActive()
+                                        ? kCoordinatorProbeDelay
+                                        : kStandbyProbeDelay);
     if (run % kTaskRunsPerSettingsPoll == 0) this->PollSettings();
   }
 }
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -74,6 +74,7 @@
   OwnerDirectory owners;
   LoadRecorder loads;
   FleetSize fleet;
+  CircuitBreakerStore store_breaker;
   RelayedStore store;
   PeerExchange peer_exchange;
   ForwardingState state;
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -33,6 +33,9 @@
   double cpu_cores = 1;      ///< CPU capacity of this host, in cores.
   double link_mbps = 1000;   ///< Bandwidth in megabits per second.
   GrantTiming grant_timing;
+  /// Whether the whole fleet starts for the first time, so that no host
+  /// coordinates yet and no caller has to be served at once.
+  bool is_first_start = false;
   std::string log_level = "info";
 };
 
--- /dev/null
+++ b/src/store/circuit_breaker_store.cc
@@ -0,0 +1,63 @@
+#include "store/circuit_breaker_store.h"
+
+#include <algorithm>
+
+namespace currantbeam {
+namespace {
+
+constexpr Duration kInitialDelay = std::chrono::milliseconds(100);
+
+}  // namespace
+
+auto CircuitBreakerStore::Read(const std::string& table,
+                               const std::string& partition) -> RowBatch {
+  return this->Guard([&] { return this->store.Read(table, partition); });
+}
+
+auto CircuitBreakerStore::Follow(const std::string& table, StoreVersion after,
+                                 std::chrono::milliseconds wait) -> RowBatch {
+  // A probe must not wait for a change, as its response closes the breaker.
+  const auto max_wait = this->IsOpen() ? std::chrono::milliseconds(0) : wait;
+  return this->Guard(
+      [&] { return this->store.Follow(table, after, max_wait); });
+}
+
+auto CircuitBreakerStore::Write(const StoreWrite& write) -> WriteResult {
+  const auto result = this->store.Write(write);
+  const bool has_responded = result.outcome == WriteOutcome::kWritten ||
+                             result.outcome == WriteOutcome::kConflict;
+  if (has_responded) this->OnResponse();
+  return result;
+}
+
+auto CircuitBreakerStore::Guard(const Call& call) -> RowBatch {
+  const bool is_probe = this->IsOpen();
+  if (is_probe &&
+      (this->is_probing || this->clock.Now() < this->next_probe_at)) {
+    throw StoreError("store: not called again yet after a failed call");
+  }
+  if (is_probe) this->is_probing = true;
+  try {
+    auto batch = call();
+    if (is_probe) this->is_probing = false;
+    this->OnResponse();
+    return batch;
+  } catch (const HistoryLost&) {
+    if (is_probe) this->is_probing = false;
+    this->OnResponse();
+    throw;
+  } catch (const StoreError&) {
+    if (is_probe) this->is_probing = false;
+    // Calls that were in flight when the breaker opened don't count again.
+    if (is_probe || !this->IsOpen()) this->OnFailure();
+    throw;
+  }
+}
+
+auto CircuitBreakerStore::OnFailure() -> void {
+  this->delay =
+      std::min(std::max(2 * this->delay, kInitialDelay), this->max_delay);
+  this->next_probe_at = this->clock.Now() + this->delay;
+}
+
+}  // namespace currantbeam
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -7,15 +7,19 @@
 namespace currantbeam {
 namespace {
 
-/// How long a host that starts waits for a table snapshot from the leader
-/// before it reads the store.
-constexpr auto kFirstUpdateTimeout = std::chrono::milliseconds(300);
+/// A host that waits for a snapshot checks this often whether it has become the
+/// leader itself.
+constexpr Duration kLeaderCheckInterval = std::chrono::milliseconds(100);
 /// The leader polls the store at least this often, as the other hosts rely on
 /// the age of its copy.
 constexpr auto kLeaderPollWait = std::chrono::milliseconds(500);
 /// A host without updates from the leader polls the store for this long before
 /// it checks for updates again.
 constexpr auto kStandaloneWait = std::chrono::milliseconds(2000);
+/// Minimum time between a poll that returned changes and the next one of a host
+/// without updates. All hosts poll while there is no leader, and a table that
+/// changes all the time would otherwise answer every poll at once.
+constexpr auto kMinStandaloneInterval = std::chrono::milliseconds(1000);
 
 /// Publishes a pointer to a timer during its lifetime, so that OnUpdates() can
 /// cancel the timer.
@@ -37,8 +41,9 @@
 }  // namespace
 
 RelayedStore::RelayedStore(StoreClient& store, const Clock& clock,
-                           const std::vector<std::string>& tables)
-    : store(store), clock(clock) {
+                           const std::vector<std::string>& tables,
+                           Duration first_update_timeout)
+    : store(store), clock(clock), first_update_timeout(first_update_timeout) {
   for (const auto& table : tables) {
     this->tables.emplace(table, SharedTable{RelayedTable(table)});
   }
@@ -52,14 +57,14 @@
   }
   auto& shared = it->second;
   shared.table.Invalidate();
-  const auto deadline = this->clock.Now() + kFirstUpdateTimeout;
+  const auto deadline = this->clock.Now() + this->first_update_timeout;
   while (!this->is_leader) {
     if (auto snapshot = shared.table.TakeSnapshot(this->clock.Now())) {
       return std::move(*snapshot);
     }
     const auto remaining = deadline - this->clock.Now();
     if (remaining <= Duration(0)) break;
-    this->AwaitUpdate(table, remaining);
+    this->AwaitUpdate(table, std::min(remaining, kLeaderCheckInterval));
   }
   return this->ReadDirectly(shared, table);
 }
@@ -81,7 +86,9 @@
     if (auto changes = shared.table.TakeChanges(after)) {
       return std::move(*changes);
     }
-    const auto remaining = shared.table.FreshUntil() - this->clock.Now();
+    const auto poll_at =
+        std::max(shared.table.FreshUntil(), shared.next_poll_at);
+    const auto remaining = poll_at - this->clock.Now();
     if (remaining <= Duration(0)) break;
     this->AwaitUpdate(table, remaining);
   }
@@ -100,6 +107,9 @@
                          ? std::min(this->clock.Now(), requested_at + wait)
                          : requested_at;
   shared.table.OnFollowed(batch, as_of);
+  if (!batch.rows.empty()) {
+    shared.next_poll_at = this->clock.Now() + kMinStandaloneInterval;
+  }
   return batch;
 }
 
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -18,8 +18,11 @@
 class RelayedStore : public StoreClient {
  public:
   /// @param tables  the names of the shared tables.
+  /// @param first_update_timeout  how long a host that starts waits for a table
+  ///   snapshot from the leader before it reads the store.
   RelayedStore(StoreClient& store, const Clock& clock,
-               const std::vector<std::string>& tables);
+               const std::vector<std::string>& tables,
+               Duration first_update_timeout);
 
   auto Read(const std::string& table, const std::string& partition)
       -> RowBatch override;
@@ -54,6 +57,8 @@
     RelayedTable table;
     /// Cancelled when an update arrives; null while nothing waits.
     boost::asio::steady_timer* wait_timer = nullptr;
+    /// The earliest time of the next poll, unless this host is the leader.
+    TimePoint next_poll_at{};
   };
 
   auto ReadDirectly(SharedTable& shared, const std::string& table) -> RowBatch;
@@ -64,6 +69,7 @@
   StoreClient& store;
   const Clock& clock;
   std::map<std::string, SharedTable> tables;
+  Duration first_update_timeout;
   bool is_leader = false;
 };
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -4,6 +4,7 @@
 /// Public header of the store library: the client of the persistent store,
 /// whose tables have conditional transactions and change feeds.
 
+#include "store/circuit_breaker_store.h"
 #include "store/memory_store.h"
 #include "store/relayed_store.h"
 #include "store/store_client.h"
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -238,6 +238,27 @@
   EXPECT_LE(total_in_flight(200), 200) << "each gateway may send one request";
 }
 
+// A host that starts assumes a large fleet. If its limits kept that bound, it
+// would refuse requests although the servers of a small fleet have free slots.
+TEST(BackendLoad, RaisesALimitThatOnlyTheFleetSizeBounded) {
+  ManualClock clock;
+  BackendLoad load(4, std::make_shared<TypicalLatency>(milliseconds(50)),
+                   clock.Now());
+  load.SetGatewayCount(100);
+  EXPECT_LT(load.Limit(), 2);
+  load.SetGatewayCount(1);
+  EXPECT_EQ(load.Limit(), 4);
+  // A limit that the server's refusals lowered stays.
+  for (int i = 0; i < 5; ++i) {
+    load.OnSent();
+    clock.Advance(milliseconds(200));
+    load.OnRefused(clock.Now());
+  }
+  const double lowered = load.Limit();
+  load.SetGatewayCount(2);
+  EXPECT_EQ(load.Limit(), lowered);
+}
+
 TEST(BackendLoad, CountsRequestsInFlight) {
   EXPECT_TRUE(
       rc::check("in flight is sent minus ended, the limit stays in bounds", [] {
--- a/tests/store/relayed_store_test.cc
+++ b/tests/store/relayed_store_test.cc
@@ -18,8 +18,10 @@
 /// Advances the test's clock instead of waiting.
 class NonBlockingStore : public RelayedStore {
  public:
-  NonBlockingStore(StoreClient& store, ManualClock& clock)
-      : RelayedStore(store, clock, {kTable}), clock(clock) {}
+  NonBlockingStore(StoreClient& store, ManualClock& clock,
+                   Duration first_update_timeout)
+      : RelayedStore(store, clock, {kTable}, first_update_timeout),
+        clock(clock) {}
 
   /// Called whenever the store would wait.
   std::function<void()> on_wait = [] {};
@@ -66,9 +68,10 @@
 
 /// One host that follows the table.
 struct Host {
-  Host(MemoryStore& memory, ManualClock& clock)
+  Host(MemoryStore& memory, ManualClock& clock,
+       Duration first_update_timeout = milliseconds(300))
       : recording_store(memory),
-        store(recording_store, clock),
+        store(recording_store, clock, first_update_timeout),
         recorder(memory) {}
 
   auto Step() -> void { this->follower.Step(); }
@@ -259,6 +262,63 @@
   EXPECT_EQ(this->other.recorder.rows.at("a"), "1");
 }
 
+// On the first start of a fleet there is no leader yet. If each host read the
+// tables itself, the store would answer as many reads as there are hosts.
+TEST_F(RelayedStoreTest, WaitsForTheLeaderOnTheFirstStartOfTheFleet) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  Host starting(this->memory, this->clock, std::chrono::seconds(3));
+  const auto started_at = this->clock.Now();
+  bool has_snapshot = false;
+  starting.store.on_wait = [&] {
+    // The leader is elected after one second.
+    if (this->clock.Now() - started_at < std::chrono::seconds(1)) return;
+    if (has_snapshot) return;
+    has_snapshot = true;
+    this->leader.Step();
+    starting.SyncFrom(this->leader, this->clock);
+  };
+  starting.Step();
+  EXPECT_EQ(starting.recorder.rows.at("a"), "1");
+  EXPECT_EQ(starting.recording_store.reads, 0);
+  EXPECT_LE(this->clock.Now() - started_at, milliseconds(1500));
+}
+
+TEST_F(RelayedStoreTest, ReadsTheStoreOnceItBecomesTheLeaderItself) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  Host starting(this->memory, this->clock, std::chrono::seconds(3));
+  const auto started_at = this->clock.Now();
+  starting.store.on_wait = [&] { starting.store.SetLeader(true); };
+  starting.Step();
+  EXPECT_EQ(starting.recorder.rows.at("a"), "1");
+  EXPECT_LE(this->clock.Now() - started_at, milliseconds(200));
+}
+
+// While there is no leader, every host polls the store. A table that changes
+// all the time answers each poll at once, so that the number of calls is
+// limited by the interval between polls only.
+TEST_F(RelayedStoreTest, PollsAChangingTableOnceASecondWithoutALeader) {
+  this->memory.Put({kTable, "", "a"}, "0");
+  this->other.Step();
+  this->other.recording_store.reads = 0;
+  const auto started_at = this->clock.Now();
+  TimePoint changed_at = started_at;
+  int writes = 0;
+  const auto change = [&] {
+    changed_at = this->clock.Now();
+    this->memory.Put({kTable, "", "a"}, std::to_string(++writes));
+  };
+  this->other.store.on_wait = change;
+  while (this->clock.Now() - started_at < std::chrono::seconds(10)) {
+    change();
+    this->other.Step();
+    EXPECT_EQ(this->other.recorder.rows.at("a"), std::to_string(writes));
+    // Changes have to be in force within two seconds.
+    EXPECT_LE(this->clock.Now() - changed_at, milliseconds(1100));
+    this->clock.Advance(milliseconds(10));
+  }
+  EXPECT_LE(this->other.recording_store.reads, 11);
+}
+
 TEST_F(RelayedStoreTest, RejectsMalformedUpdates) {
   EXPECT_THROW(TableUpdate::Decode(""), InputError);
   EXPECT_THROW(TableUpdate::Decode("x"), InputError);
