--- a/src/standins/wire/wire_store.cc
+++ b/src/standins/wire/wire_store.cc
@@ -1,5 +1,6 @@
 #include "standins/wire/wire_store.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <websocketpp/base64/base64.hpp>
@@ -9,8 +10,21 @@
 
 constexpr auto kPollTime = std::chrono::milliseconds(5);
 
-/// @return a parameter of the query; empty if it is missing. Percent-escapes
-///   are not decoded, since the stand-in's clients send none.
+auto DecodePercent(const std::string& text) -> std::string {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%' || i + 2 >= text.size()) {
+      decoded += text[i];
+      continue;
+    }
+    const auto code = std::strtol(text.substr(i + 1, 2).c_str(), nullptr, 16);
+    decoded += static_cast<char>(code);
+    i += 2;
+  }
+  return decoded;
+}
+
+/// @return a parameter of the query; empty if it is missing.
 auto QueryParameter(const std::string& target, const std::string& name)
     -> std::string {
   const auto query = target.find('?');
@@ -19,7 +33,7 @@
   const auto at = text.find("&" + name + "=");
   if (at == std::string::npos) return {};
   const auto begin = at + name.size() + 2;
-  return text.substr(begin, text.find('&', begin) - begin);
+  return DecodePercent(text.substr(begin, text.find('&', begin) - begin));
 }
 
 auto EncodeRows(const std::vector<StoreRow>& rows) -> nlohmann::json {
@@ -89,11 +103,7 @@
       this->store.DropHistory();
       return MakeJsonResponse(http::status::ok, nlohmann::json::object());
     }
-    if (path == "/rows-get") {
-      const auto batch = this->store.Read(QueryParameter(target, "table"),
-                                          QueryParameter(target, "part"));
-      return MakeJsonResponse(http::status::ok, EncodeBatch(batch));
-    }
+    if (path == "/rows-get") return this->HandleRead(target);
   } catch (const nlohmann::json::exception& error) {
     return MakeJsonResponse(http::status::bad_request,
                             {{"error", error.what()}});
@@ -101,6 +111,25 @@
   return MakeJsonResponse(http::status::not_found, {{"error", "no such call"}});
 }
 
+auto WireStore::HandleRead(const std::string& target) -> HttpResponse {
+  auto batch = this->store.Read(QueryParameter(target, "table"),
+                                QueryParameter(target, "part"));
+  const auto from = QueryParameter(target, "from");
+  auto& rows = batch.rows;
+  rows.erase(
+      std::remove_if(rows.begin(), rows.end(),
+                     [&](const StoreRow& row) { return row.name.key < from; }),
+      rows.end());
+  std::sort(rows.begin(), rows.end(), [](const auto& a, const auto& b) {
+    return a.name.key < b.name.key;
+  });
+  const bool is_truncated = rows.size() > this->max_page_rows;
+  if (is_truncated) rows.resize(this->max_page_rows);
+  auto json = EncodeBatch(batch);
+  json["truncated"] = is_truncated;
+  return MakeJsonResponse(http::status::ok, json);
+}
+
 auto WireStore::HandleFeed(const std::string& target) -> HttpResponse {
   const auto table = QueryParameter(target, "table");
   const auto after =
--- a/src/standins/wire/wire_store.h
+++ b/src/standins/wire/wire_store.h
@@ -27,6 +27,8 @@
   }
   /// While true, sends no response to any call.
   auto SetHung(bool hung) -> void { this->is_hung = hung; }
+  /// Limits the rows of a page, as the platform's limit of its bytes does.
+  auto SetMaxPageRows(std::size_t rows) -> void { this->max_page_rows = rows; }
   /// Discards past changes; feeds that continue before this point get 410.
   auto DropHistory() -> void { this->store.DropHistory(); }
   [[nodiscard]] auto Find(const RowName& name) const
@@ -37,6 +39,7 @@
 
  private:
   auto Dispatch(const HttpRequest& request) -> HttpResponse;
+  auto HandleRead(const std::string& target) -> HttpResponse;
   auto HandleTransaction(const std::string& body) -> HttpResponse;
   auto HandleFeed(const std::string& target) -> HttpResponse;
 
@@ -44,6 +47,7 @@
   MemoryStore store;
   bool is_unavailable = false;
   bool is_hung = false;
+  std::size_t max_page_rows = 500;
   int calls = 0;
 };
 
--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint16_t kStorePort = 27391;
+constexpr std::uint16_t kPagedStorePort = 27392;
 
 const char* const kSettings =
     R"({"node":"front-1","zone":"x","ip":"10.0.0.1","portRange":[7540,7555],
@@ -141,5 +142,24 @@
   });
 }
 
+// The store bounds a page of rows in bytes. A page that is shorter than the
+// requested number of rows is then not the last one, and a client that stopped
+// there would take the servers on later pages for gone.
+TEST(TableStoreClient, ReadsAllPagesOfATable) {
+  FiberLoop loop;
+  WireStore store;
+  store.SetMaxPageRows(3);
+  for (int i = 0; i < 8; ++i) {
+    store.Put({"t", "", "key-" + std::to_string(i)}, "value");
+  }
+  HttpServer server(LocalServerOptions(kPagedStorePort), store);
+  server.Listen(loop);
+  RunInFiber(loop, [&] {
+    TableStoreClient client({"127.0.0.1", kPagedStorePort});
+    EXPECT_EQ(client.Read("t", "").rows.size(), 8U);
+    server.StopAccepting();
+  });
+}
+
 }  // namespace
 }  // namespace currantbeam
