Reach the store again sooner after a partition

Hosts that had been cut off sent requests to servers that had left meanwhile, 3.0 to 3.5 s after the partition had ended.

Change: the wait for an election ends 3 s after the start, whatever is read later. The breaker's interval is half a second at most and counts from when a call was sent, so that a call that times out is followed by the next one after 100 ms; followers retry every 100 ms, which costs no call while the breaker is open. The breaker needs no setting for the coordinator any more.

--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -20,10 +20,6 @@
 /// fleet, and otherwise only for a reply to its first report.
 constexpr Duration kFirstStartTimeout = std::chrono::seconds(3);
 constexpr Duration kRestartTimeout = std::chrono::milliseconds(300);
-/// Longest delay between probes of a store that does not respond. The
-/// coordinator probes more often, as the other hosts rely on its updates.
-constexpr Duration kCoordinatorProbeDelay = std::chrono::milliseconds(300);
-constexpr Duration kStandbyProbeDelay = std::chrono::milliseconds(1500);
 constexpr auto kPeriodicTaskInterval = std::chrono::milliseconds(200);
 /// The loop counts as overloaded when a timer fires this late.
 constexpr auto kLateLoopThreshold = std::chrono::milliseconds(50);
@@ -169,9 +165,6 @@
     this->directory.RemoveExpired();
     FlushLog();
     this->ApplyFleetSize();
-    this->store_breaker.SetMaxDelay(this->coordinator.IsActive()
-                                        ? kCoordinatorProbeDelay
-                                        : kStandbyProbeDelay);
     if (run % kTaskRunsPerSettingsPoll == 0) this->PollSettings();
   }
 }
--- a/src/store/circuit_breaker_store.cc
+++ b/src/store/circuit_breaker_store.cc
@@ -5,7 +5,14 @@
 namespace currantbeam {
 namespace {
 
-constexpr Duration kInitialDelay = std::chrono::milliseconds(100);
+constexpr Duration kInitialInterval = std::chrono::milliseconds(100);
+/// A host keeps servers whose entries are missing for a grace period after it
+/// reaches the store again. With the time until it does, this has to stay below
+/// three seconds after an outage or a partition.
+constexpr Duration kMaxInterval = std::chrono::milliseconds(500);
+/// Pause after a call that failed by its timeout, which may exceed the
+/// interval.
+constexpr Duration kMinPause = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -37,6 +44,7 @@
     throw StoreError("store: not called again yet after a failed call");
   }
   if (is_probe) this->is_probing = true;
+  const auto sent_at = this->clock.Now();
   try {
     auto batch = call();
     if (is_probe) this->is_probing = false;
@@ -49,15 +57,16 @@
   } catch (const StoreError&) {
     if (is_probe) this->is_probing = false;
     // Calls that were in flight when the breaker opened don't count again.
-    if (is_probe || !this->IsOpen()) this->OnFailure();
+    if (is_probe || !this->IsOpen()) this->OnFailure(sent_at);
     throw;
   }
 }
 
-auto CircuitBreakerStore::OnFailure() -> void {
-  this->delay =
-      std::min(std::max(2 * this->delay, kInitialDelay), this->max_delay);
-  this->next_probe_at = this->clock.Now() + this->delay;
+auto CircuitBreakerStore::OnFailure(TimePoint sent_at) -> void {
+  this->interval =
+      std::min(std::max(2 * this->interval, kInitialInterval), kMaxInterval);
+  this->next_probe_at =
+      std::max(sent_at + this->interval, this->clock.Now() + kMinPause);
 }
 
 }  // namespace currantbeam
--- a/src/store/circuit_breaker_store.h
+++ b/src/store/circuit_breaker_store.h
@@ -7,12 +7,12 @@
 namespace currantbeam {
 
 /// A StoreClient that sends few calls to a store that fails. After a failed
-/// read, further reads fail without a call until a delay has passed; the next
-/// one then probes the store. The delay doubles with each failed probe and ends
-/// with the first response. Writes are always sent, because a lease has to be
-/// renewed as soon as the store accepts it. Runs on one loop.
+/// read, further reads fail without a call until an interval has passed since
+/// it was sent; the next one then probes the store. The interval doubles with
+/// each failed probe, up to half a second. Writes are always sent, because a
+/// lease has to be renewed as soon as the store accepts it. Runs on one loop.
 ///
-/// All tables share one breaker, so a host makes one call for each delay during
+/// All tables share one breaker, so a host makes one call in each interval of
 /// an outage, whatever number of tables it follows.
 class CircuitBreakerStore : public StoreClient {
  public:
@@ -25,9 +25,6 @@
               std::chrono::milliseconds wait) -> RowBatch override;
   auto Write(const StoreWrite& write) -> WriteResult override;
 
-  /// Sets the longest delay between two probes.
-  auto SetMaxDelay(Duration max_delay) -> void { this->max_delay = max_delay; }
-
  private:
   using Call = std::function<RowBatch()>;
 
@@ -35,16 +32,15 @@
   /// @throws StoreError if the breaker is open or the call fails.
   auto Guard(const Call& call) -> RowBatch;
   [[nodiscard]] auto IsOpen() const -> bool {
-    return this->delay != Duration(0);
+    return this->interval != Duration(0);
   }
-  auto OnResponse() -> void { this->delay = Duration(0); }
-  auto OnFailure() -> void;
+  auto OnResponse() -> void { this->interval = Duration(0); }
+  /// @param sent_at  when the failed call was sent.
+  auto OnFailure(TimePoint sent_at) -> void;
 
   StoreClient& store;
   const Clock& clock;
-  /// Longer delays would leave hosts with old routes after an outage.
-  Duration max_delay = std::chrono::milliseconds(1500);
-  Duration delay{0};  ///< Zero while the breaker is closed.
+  Duration interval{0};  ///< Zero while the breaker is closed.
   TimePoint next_probe_at{};
   bool is_probing = false;
 };
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -7,6 +7,9 @@
 namespace currantbeam {
 namespace {
 
+/// How long a host waits for a table snapshot from the leader before it reads
+/// the store: for the reply to one report.
+constexpr Duration kSnapshotTimeout = std::chrono::milliseconds(300);
 /// A host that waits for a snapshot checks this often whether it has become the
 /// leader itself.
 constexpr Duration kLeaderCheckInterval = std::chrono::milliseconds(100);
@@ -42,8 +45,10 @@
 
 RelayedStore::RelayedStore(StoreClient& store, const Clock& clock,
                            const std::vector<std::string>& tables,
-                           Duration first_update_timeout)
-    : store(store), clock(clock), first_update_timeout(first_update_timeout) {
+                           Duration election_timeout)
+    : store(store),
+      clock(clock),
+      election_deadline(clock.Now() + election_timeout) {
   for (const auto& table : tables) {
     this->tables.emplace(table, SharedTable{RelayedTable(table)});
   }
@@ -57,7 +62,8 @@
   }
   auto& shared = it->second;
   shared.table.Invalidate();
-  const auto deadline = this->clock.Now() + this->first_update_timeout;
+  const auto deadline =
+      std::max(this->clock.Now() + kSnapshotTimeout, this->election_deadline);
   while (!this->is_leader) {
     if (auto snapshot = shared.table.TakeSnapshot(this->clock.Now())) {
       return std::move(*snapshot);
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -18,11 +18,12 @@
 class RelayedStore : public StoreClient {
  public:
   /// @param tables  the names of the shared tables.
-  /// @param first_update_timeout  how long a host that starts waits for a table
-  ///   snapshot from the leader before it reads the store.
+  /// @param election_timeout  how long after its start this host expects a
+  ///   leader to be elected. Until then it waits for table snapshots from the
+  ///   leader, and doesn't read the store itself.
   RelayedStore(StoreClient& store, const Clock& clock,
                const std::vector<std::string>& tables,
-               Duration first_update_timeout);
+               Duration election_timeout);
 
   auto Read(const std::string& table, const std::string& partition)
       -> RowBatch override;
@@ -69,7 +70,7 @@
   StoreClient& store;
   const Clock& clock;
   std::map<std::string, SharedTable> tables;
-  Duration first_update_timeout;
+  TimePoint election_deadline;
   bool is_leader = false;
 };
 
--- a/src/store/table_follower.h
+++ b/src/store/table_follower.h
@@ -31,7 +31,7 @@
   /// Delay after a change, so that changes in quick succession form one batch.
   std::chrono::milliseconds batch_delay{0};
   std::chrono::milliseconds min_retry_delay{100};
-  std::chrono::milliseconds max_retry_delay{500};
+  std::chrono::milliseconds max_retry_delay{100};
 };
 
 /// Keeps a TableListener up to date with one partition of a table: reads a
