Answer a request that arrives before an idle timeout is handled

What the code allowed: the idle timeout's handler can be queued behind a slow handler while the request arrives; it then closed the connection with the request unread. The same holds for idle connections that a stop closes.

Change: the timeout cancels the read and leaves the socket open; if bytes have arrived, they are read. ReadTimeout serves heads, too.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -29,6 +29,34 @@
   return received <= 0 && !would_block;
 }
 
+/// @return whether the socket has received bytes that were not read yet.
+auto HasUnreadBytes(int socket) -> bool {
+  char byte = 0;
+  return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/// Cancels the socket's pending read after a timeout, unless it is destroyed
+/// before. The socket stays open, unlike after a timeout of the stream.
+class ReadTimeout {
+ public:
+  ReadTimeout(TcpSocket& socket, std::chrono::milliseconds timeout)
+      : timer(socket.get_executor()) {
+    this->timer.expires_after(timeout);
+    this->timer.async_wait(
+        [&socket, is_waiting = this->is_waiting](const auto& error) {
+          if (!error && *is_waiting) socket.cancel();
+        });
+  }
+  ~ReadTimeout() { *this->is_waiting = false; }
+  ReadTimeout(const ReadTimeout&) = delete;
+  auto operator=(const ReadTimeout&) -> ReadTimeout& = delete;
+
+ private:
+  asio::steady_timer timer;
+  /// The timer's handler may already be queued when the read has ended.
+  std::shared_ptr<bool> is_waiting = std::make_shared<bool>(true);
+};
+
 }  // namespace
 
 HttpServer::Connection::Connection(HttpServer& server, TcpSocket socket)
@@ -216,20 +244,14 @@
 auto HttpServer::Connection::ReadHead(
     http::request_parser<http::string_body>& parser) -> AwaitResult {
   this->stream.expires_never();
-  asio::steady_timer timer(this->stream.get_executor());
-  // The timer's handler may already be queued when the head is complete.
-  const auto is_waiting = std::make_shared<bool>(true);
+  std::optional<ReadTimeout> timeout;
   if (!this->HasCompleteHead()) {
-    timer.expires_after(this->server.options.limits.header_timeout);
-    timer.async_wait([this, is_waiting](const auto& error) {
-      if (!error && *is_waiting) this->stream.socket().cancel();
-    });
+    timeout.emplace(this->stream.socket(),
+                    this->server.options.limits.header_timeout);
   }
-  const auto result = Await([&](auto handler) {
+  return Await([&](auto handler) {
     http::async_read_header(this->stream, this->buffer, parser, handler);
   });
-  *is_waiting = false;
-  return result;
 }
 
 auto HttpServer::Connection::HasCompleteHead() const -> bool {
@@ -241,22 +263,38 @@
 
 auto HttpServer::Connection::ReadFirstBytes() -> bool {
   this->buffer.shrink_to_fit();
-  this->SetTimeout(this->server.options.limits.idle_timeout);
+  this->stream.expires_never();
+  auto result = this->AwaitFirstBytes();
+  // The idle timeout or a stop may end the wait while the next request has
+  // arrived already, for example because other handlers ran for long.
+  const bool has_request =
+      result.error == asio::error::operation_aborted &&
+      HasUnreadBytes(this->stream.socket().native_handle());
+  if (has_request) result = this->ReadSome();
+  if (result.error) return false;
+  this->buffer.commit(result.bytes);
+  return true;
+}
+
+auto HttpServer::Connection::AwaitFirstBytes() -> AwaitResult {
+  const ReadTimeout timeout(this->stream.socket(),
+                            this->server.options.limits.idle_timeout);
   this->server.SetIdle(this, true);
-  AwaitResult result;
   try {
-    result = Await([&](auto handler) {
-      this->stream.async_read_some(this->buffer.prepare(kFirstReadBytes),
-                                   handler);
-    });
+    const auto result = this->ReadSome();
+    this->server.SetIdle(this, false);
+    return result;
   } catch (const LoopStopped&) {
     this->server.SetIdle(this, false);
     throw;
   }
-  this->server.SetIdle(this, false);
-  if (result.error) return false;
-  this->buffer.commit(result.bytes);
-  return true;
+}
+
+auto HttpServer::Connection::ReadSome() -> AwaitResult {
+  return Await([&](auto handler) {
+    this->stream.async_read_some(this->buffer.prepare(kFirstReadBytes),
+                                 handler);
+  });
 }
 
 auto HttpServer::Connection::CheckFraming() -> bool {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -74,6 +74,12 @@
   /// HttpLimits::idle_timeout.
   /// @return false if the connection was closed or timed out instead.
   auto ReadFirstBytes() -> bool;
+  /// Reads bytes while the connection counts as idle.
+  /// @return operation_aborted after the idle timeout or CancelIdleRead(); the
+  ///   socket stays open.
+  auto AwaitFirstBytes() -> AwaitResult;
+  /// Reads into the buffer, without committing the bytes.
+  auto ReadSome() -> AwaitResult;
 
   /// Rejects a request whose body length is ambiguous, as another server could
   /// parse it differently (request smuggling).
