--- a/src/store/circuit_breaker_store.cc
+++ b/src/store/circuit_breaker_store.cc
@@ -30,7 +30,7 @@
 }
 
 auto CircuitBreakerStore::Write(const StoreWrite& write) -> WriteResult {
-  const auto result = this->store.Write(write);
+  auto result = this->store.Write(write);
   const bool has_responded = result.outcome == WriteOutcome::kWritten ||
                              result.outcome == WriteOutcome::kConflict;
   if (has_responded) this->OnResponse();
