Let MemoryStore be restored from a copy

The platform's store may come back from a copy some seconds old: rows written since are gone, versions go back and are assigned again, and a change feed from a version that the store no longer has gets no history. Tests need a store that does this.

TakeCopy() and Restore() do it; Epoch() counts the restores, and Follow() after a version above the current one throws HistoryLost.

--- a/src/store/memory_store.cc
+++ b/src/store/memory_store.cc
@@ -17,31 +17,37 @@
 }
 
 auto MemoryStore::Find(const RowName& name) const -> std::optional<StoreRow> {
-  const auto it = this->rows.find(IdOf(name));
-  if (it == this->rows.end() || it->second.is_deleted) return std::nullopt;
+  const auto& rows = this->state.rows;
+  const auto it = rows.find(IdOf(name));
+  if (it == rows.end() || it->second.is_deleted) return std::nullopt;
   return it->second;
 }
 
+auto MemoryStore::Restore(const Copy& copy) -> void {
+  this->state = copy;
+  ++this->epoch;
+}
+
 auto MemoryStore::Put(const RowName& name, const std::string& value) -> void {
-  ++this->version;
-  this->rows[IdOf(name)] = {name, value, this->version, false};
+  ++this->state.version;
+  this->state.rows[IdOf(name)] = {name, value, this->state.version, false};
 }
 
 auto MemoryStore::Remove(const RowName& name) -> void {
-  ++this->version;
-  this->rows[IdOf(name)] = {name, "", this->version, true};
+  ++this->state.version;
+  this->state.rows[IdOf(name)] = {name, "", this->state.version, true};
 }
 
 auto MemoryStore::Read(const std::string& table, const std::string& partition)
     -> RowBatch {
   this->CheckAvailable();
   RowBatch batch;
-  for (const auto& [id, row] : this->rows) {
+  for (const auto& [id, row] : this->state.rows) {
     const bool matches =
         row.name.table == table && row.name.partition == partition;
     if (matches && !row.is_deleted) batch.rows.push_back(row);
   }
-  batch.version = this->version;
+  batch.version = this->state.version;
   batch.store_time = this->StoreTime();
   return batch;
 }
@@ -49,9 +55,14 @@
 auto MemoryStore::Follow(const std::string& table, StoreVersion after,
                          std::chrono::milliseconds /*wait*/) -> RowBatch {
   this->CheckAvailable();
-  if (after < this->history_start) throw HistoryLost("history was dropped");
+  if (after < this->state.history_start) {
+    throw HistoryLost("history was dropped");
+  }
+  if (after > this->state.version) {
+    throw HistoryLost("the version was lost in a restore");
+  }
   RowBatch batch;
-  for (const auto& [id, row] : this->rows) {
+  for (const auto& [id, row] : this->state.rows) {
     if (row.name.table == table && row.version > after) {
       batch.rows.push_back(row);
     }
@@ -60,7 +71,7 @@
             [](const StoreRow& a, const StoreRow& b) {
               return a.version < b.version;
             });
-  batch.version = this->version;
+  batch.version = this->state.version;
   batch.store_time = this->StoreTime();
   return batch;
 }
@@ -78,20 +89,20 @@
   result.store_time = this->StoreTime();
   if (result.outcome == WriteOutcome::kConflict) return result;
   result.rows.clear();
-  ++this->version;
+  ++this->state.version;
   for (auto row : write.puts) {
-    row.version = this->version;
-    this->rows[IdOf(row.name)] = row;
+    row.version = this->state.version;
+    this->state.rows[IdOf(row.name)] = row;
   }
   for (const auto& name : write.removals) {
-    this->rows[IdOf(name)] = {name, "", this->version, true};
+    this->state.rows[IdOf(name)] = {name, "", this->state.version, true};
   }
   if (this->responses_to_drop > 0) {
     --this->responses_to_drop;
     return WriteResult();
   }
   result.outcome = WriteOutcome::kWritten;
-  result.version = this->version;
+  result.version = this->state.version;
   return result;
 }
 
--- a/src/store/memory_store.h
+++ b/src/store/memory_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <tuple>
@@ -12,6 +13,15 @@
 /// store, for tests and stand-ins. Follow() never waits.
 class MemoryStore : public StoreClient {
  public:
+  /// Table, partition and key.
+  using RowId = std::tuple<std::string, std::string, std::string>;
+  /// All that the store holds at one time.
+  struct Copy {
+    std::map<RowId, StoreRow> rows;  ///< Includes tombstones.
+    StoreVersion version = 0;
+    StoreVersion history_start = 0;
+  };
+
   explicit MemoryStore(const Clock& clock) : clock(clock) {}
 
   auto Read(const std::string& table, const std::string& partition)
@@ -26,22 +36,28 @@
   /// The next `count` successful writes take effect but return kUnknown.
   auto DropResponses(int count) -> void { this->responses_to_drop = count; }
   /// Drops the history: Follow() from an earlier version throws HistoryLost.
-  auto DropHistory() -> void { this->history_start = this->version; }
+  auto DropHistory() -> void {
+    this->state.history_start = this->state.version;
+  }
+  [[nodiscard]] auto TakeCopy() const -> Copy { return this->state; }
+  /// Rolls the store back to a copy: rows written since then are gone, and
+  /// their versions are assigned again.
+  auto Restore(const Copy& copy) -> void;
+  /// @return the number of restores so far.
+  [[nodiscard]] auto Epoch() const -> std::uint64_t { return this->epoch; }
   auto Put(const RowName& name, const std::string& value) -> void;
   auto Remove(const RowName& name) -> void;
   /// @return the row; empty if it does not exist or was deleted.
   [[nodiscard]] auto Find(const RowName& name) const -> std::optional<StoreRow>;
 
  private:
-  using RowId = std::tuple<std::string, std::string, std::string>;
   static auto IdOf(const RowName& name) -> RowId;
   auto CheckAvailable() const -> void;
   [[nodiscard]] auto StoreTime() const -> Duration;
 
   const Clock& clock;
-  std::map<RowId, StoreRow> rows;  ///< Includes tombstones.
-  StoreVersion version = 0;
-  StoreVersion history_start = 0;
+  Copy state;
+  std::uint64_t epoch = 0;
   bool down = false;
   int responses_to_drop = 0;
 };
