Let the store's stand-in be restored from an earlier copy

A drill of the platform takes the store away for a moment and brings it back from a copy some seconds old. Tests and the soak need a stand-in that does the same over the wire.

The rows of the operator and of the servers have writers outside the system, so they are written again after a delay, unless they were written meanwhile. WireStore offers this as /standin/restore?seconds=N&downMs=M&rewriteMs=R and as methods, and sends the number of the epoch in all its answers, from 1 on.

--- a/src/standins/wire/wire_store.cc
+++ b/src/standins/wire/wire_store.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr auto kPollTime = std::chrono::milliseconds(5);
+/// The header that carries the number of the store's epoch, and its first
+/// value.
+constexpr const char* kEpochHeader = "Store-Era";
+constexpr std::uint64_t kFirstEpoch = 1;
 
 auto DecodePercent(const std::string& text) -> std::string {
   std::string decoded;
@@ -36,6 +40,18 @@
   return DecodePercent(text.substr(begin, text.find('&', begin) - begin));
 }
 
+/// @return a parameter of the query; 0 if it is missing or not a number.
+auto NumberParameter(const std::string& target, const std::string& name)
+    -> double {
+  return std::strtod(QueryParameter(target, name).c_str(), nullptr);
+}
+
+auto MillisecondsParameter(const std::string& target, const std::string& name)
+    -> std::chrono::milliseconds {
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(NumberParameter(target, name)));
+}
+
 auto EncodeRows(const std::vector<StoreRow>& rows) -> nlohmann::json {
   auto json = nlohmann::json::array();
   for (const auto& row : rows) {
@@ -76,21 +92,49 @@
 }  // namespace
 
 auto WireStore::Put(const RowName& name, const std::string& value) -> void {
+  this->ContinueRollback();
+  this->backup.BeforeWrite();
   this->store.Put(name, value);
 }
 
 auto WireStore::Remove(const RowName& name) -> void {
+  this->ContinueRollback();
+  this->backup.BeforeWrite();
   this->store.Remove(name);
 }
 
 auto WireStore::Handle(HttpExchange& exchange) -> void {
   ++this->calls;
   while (this->is_hung && !exchange.IsClientDisconnected()) SleepFor(kPollTime);
-  if (this->is_unavailable) {
-    exchange.Send(HttpResponse{http::status::service_unavailable, 11});
+  this->ContinueRollback();
+  if (this->is_unavailable || this->rollback) {
+    this->SendResponse(exchange,
+                       HttpResponse{http::status::service_unavailable, 11});
     return;
   }
-  exchange.Send(this->Dispatch(exchange.Request()));
+  this->SendResponse(exchange, this->Dispatch(exchange.Request()));
+}
+
+auto WireStore::SendResponse(HttpExchange& exchange, HttpResponse response)
+    -> void {
+  response.set(kEpochHeader, std::to_string(kFirstEpoch + this->store.Epoch()));
+  exchange.Send(std::move(response));
+}
+
+auto WireStore::StartRollback(const Rollback& rollback) -> void {
+  this->rollback = rollback;
+  this->rollback_at = this->clock.Now() + rollback.down_time;
+  this->ContinueRollback();
+}
+
+auto WireStore::ContinueRollback() -> void {
+  if (this->rollback && this->clock.Now() >= this->rollback_at) {
+    const auto& [age, down_time, rewrite_delay] = *this->rollback;
+    const auto went_down_at = this->rollback_at - down_time;
+    this->backup.RestoreTo(went_down_at - age, rewrite_delay);
+    this->rollback.reset();
+  }
+  this->backup.RewriteIfDue();
 }
 
 auto WireStore::Dispatch(const HttpRequest& request) -> HttpResponse {
@@ -103,6 +147,7 @@
       this->store.DropHistory();
       return MakeJsonResponse(http::status::ok, nlohmann::json::object());
     }
+    if (path == "/standin/restore") return this->HandleRestore(target);
     if (path == "/rows-get") return this->HandleRead(target);
   } catch (const nlohmann::json::exception& error) {
     return MakeJsonResponse(http::status::bad_request,
@@ -111,6 +156,16 @@
   return MakeJsonResponse(http::status::not_found, {{"error", "no such call"}});
 }
 
+auto WireStore::HandleRestore(const std::string& target) -> HttpResponse {
+  const std::chrono::duration<double> age(NumberParameter(target, "seconds"));
+  Rollback rollback;
+  rollback.age = std::chrono::duration_cast<Duration>(age);
+  rollback.down_time = MillisecondsParameter(target, "downMs");
+  rollback.rewrite_delay = MillisecondsParameter(target, "rewriteMs");
+  this->StartRollback(rollback);
+  return MakeJsonResponse(http::status::ok, nlohmann::json::object());
+}
+
 auto WireStore::HandleRead(const std::string& target) -> HttpResponse {
   auto batch = this->store.Read(QueryParameter(target, "table"),
                                 QueryParameter(target, "part"));
@@ -134,10 +189,13 @@
   const auto table = QueryParameter(target, "table");
   const auto after =
       std::strtoull(QueryParameter(target, "after").c_str(), nullptr, 10);
-  const std::chrono::milliseconds wait(
-      std::strtol(QueryParameter(target, "waitMs").c_str(), nullptr, 10));
+  const auto wait = MillisecondsParameter(target, "waitMs");
   const auto deadline = this->clock.Now() + wait;
   while (true) {
+    this->ContinueRollback();
+    if (this->rollback) {
+      return HttpResponse{http::status::service_unavailable, 11};
+    }
     try {
       const auto batch = this->store.Follow(table, after, wait);
       const bool is_complete =
@@ -167,6 +225,7 @@
   for (const auto& removal : json.at("remove")) {
     write.removals.push_back(DecodeName(removal));
   }
+  this->backup.BeforeWrite();
   const auto result = this->store.Write(write);
   const auto now = std::chrono::duration<double>(result.store_time).count();
   if (result.outcome == WriteOutcome::kWritten) {
