Simulate restores of the store in the ownership simulation

While OwnerFault::kStoreRestored is active the store is down; then it returns from a copy taken 1 to 9 s before it went down. Versions go back and are assigned again. Writes that are delayed while the store is down now stay delayed until it is back, in place of being lost: they are made after a restore if their conditions hold.

--- a/tests/keys/owner_fuzz_test.cc
+++ b/tests/keys/owner_fuzz_test.cc
@@ -105,6 +105,78 @@
   }
 }
 
+/// A server leaves one second before the store goes down, so that the restore
+/// takes back the moves of its stripes, and another one leaves after it.
+class StoreRollbackTest : public testing::Test {
+ protected:
+  static constexpr int kLeaveStep = 220;
+  static constexpr int kOutageStep = kLeaveStep + 20;
+  static constexpr int kSecondLeaveDelaySteps = 10;
+  static constexpr int kSteps = 700;
+  static constexpr int kCopyAges = 9;
+  static constexpr unsigned kSeeds = 5;
+
+  static auto FaultsOf(int copy_age, int server, int outage_steps)
+      -> std::vector<OwnerFault> {
+    using Kind = OwnerFault::Kind;
+    const int second_leave_step =
+        kOutageStep + outage_steps + kSecondLeaveDelaySteps;
+    return {{Kind::kStoreRestored, copy_age, kOutageStep, outage_steps},
+            {Kind::kServerLeaves, server, kLeaveStep, kSteps - kLeaveStep},
+            {Kind::kServerLeaves, server + 1, second_leave_step,
+             kSteps - second_leave_step}};
+  }
+  static auto ExpectNoViolation(const std::vector<OwnerFault>& faults) -> void {
+    for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+      OwnershipSimulation simulation(seed);
+      simulation.Run(faults, kSteps);
+      EXPECT_EQ(simulation.Violation(), "")
+          << "seed " << seed << ": " << Describe(faults);
+      if (!simulation.Violation().empty()) continue;
+      EXPECT_GE(simulation.RunUntilAllHeld(kMaxRecoverySteps), 0)
+          << simulation.Violation() << " seed " << seed << ": "
+          << Describe(faults);
+    }
+  }
+};
+
+TEST_F(StoreRollbackTest, TokensRiseAcrossAStoreRollback) {
+  for (int age = 0; age < kCopyAges; ++age) {
+    for (int server = 0; server < OwnershipSimulation::kServers; ++server) {
+      // The coordinator lease expires in the longer outage only.
+      for (const int outage_steps : {40, 120}) {
+        ExpectNoViolation(FaultsOf(age, server, outage_steps));
+      }
+    }
+  }
+}
+
+// A coordinator that restarts while the store is down does not know the tokens
+// that the restore took back.
+TEST_F(StoreRollbackTest, TokensRiseIfTheCoordinatorRestartsMeanwhile) {
+  for (int age = 0; age < kCopyAges; ++age) {
+    for (int host = 0; host < OwnershipSimulation::kHosts; ++host) {
+      auto faults = FaultsOf(age, 0, 40);
+      faults.push_back(
+          {OwnerFault::Kind::kHostRestart, host, kOutageStep + 10, 1});
+      ExpectNoViolation(faults);
+    }
+  }
+}
+
+// Writes sent before the restore are made after it, under versions that are
+// assigned again.
+TEST_F(StoreRollbackTest, DelayedWritesAfterARollbackLeaveOneHolder) {
+  for (int age = 0; age < kCopyAges; ++age) {
+    for (int host = 0; host < OwnershipSimulation::kHosts; ++host) {
+      auto faults = FaultsOf(age, 0, 40);
+      faults.push_back(
+          {OwnerFault::Kind::kDelayedWrites, host, kOutageStep - 20, 80});
+      ExpectNoViolation(faults);
+    }
+  }
+}
+
 TEST(OwnershipSimulation, ServesAllKeysSoonAfterTheStart) {
   OwnershipSimulation simulation(1);
   // The first owners are chosen after the servers were stable for 1 s.
--- a/tests/keys/ownership_simulation.cc
+++ b/tests/keys/ownership_simulation.cc
@@ -20,8 +20,16 @@
 
 const auto kCallTimeout = GrantTiming().call_timeout;
 
+constexpr int kCopyAges = 9;
+constexpr auto kMinCopyAge = std::chrono::seconds(1);
+
 }  // namespace
 
+auto CopyAgeOf(const OwnerFault& fault) -> Duration {
+  // The first targets get ages that are far apart.
+  return kMinCopyAge + std::chrono::seconds(fault.target * 4 % kCopyAges);
+}
+
 /// One host's connection to the store, with its faults.
 class OwnershipSimulation::HostStore : public StoreClient {
  public:
@@ -54,7 +62,10 @@
   auto ApplyDelayedWrites() -> void {
     while (!this->delayed_writes.empty() &&
            this->delayed_writes.front().first <= this->clock.Now()) {
-      this->store.Write(this->delayed_writes.front().second);
+      const auto result =
+          this->store.Write(this->delayed_writes.front().second);
+      // While the store is down, the writes stay delayed.
+      if (result.outcome == WriteOutcome::kUnknown) return;
       this->delayed_writes.pop_front();
     }
   }
@@ -142,6 +153,7 @@
 
 auto OwnershipSimulation::Step(const std::vector<OwnerFault>& faults) -> void {
   this->ApplyFaults(faults);
+  this->copies.push_back(this->store.TakeCopy());
   for (int i = 0; i < kHosts; ++i) this->StepHost(i);
   this->DeliverCalls();
   this->CheckHolders();
@@ -191,6 +203,10 @@
       host = std::make_unique<Host>(this->store, this->clock, name);
       host->incarnation = incarnation;
     }
+    if (fault.kind == Kind::kStoreRestored &&
+        this->step == fault.start + fault.length) {
+      this->RestoreStore(fault);
+    }
     if (!is_active) continue;
     host->is_frozen |= fault.kind == Kind::kHostFreeze;
     host->store.is_cut |= fault.kind == Kind::kStoreCut;
@@ -198,7 +214,9 @@
     host->store.loses_responses |= fault.kind == Kind::kLostResponses;
     server.is_unresponsive |= fault.kind == Kind::kServerUnresponsive;
     if (fault.kind == Kind::kServerLeaves) server.is_registered = false;
-    if (fault.kind == Kind::kStoreDown) this->store.SetDown(true);
+    const bool is_store_down =
+        fault.kind == Kind::kStoreDown || fault.kind == Kind::kStoreRestored;
+    if (is_store_down) this->store.SetDown(true);
     this->are_calls_delayed |= fault.kind == Kind::kDelayedCalls;
   }
   for (int i = 0; i < kServers; ++i) {
@@ -206,6 +224,15 @@
   }
 }
 
+auto OwnershipSimulation::RestoreStore(const OwnerFault& fault) -> void {
+  const int age_steps = static_cast<int>(CopyAgeOf(fault) / kStep);
+  const auto first =
+      this->copies.begin() + std::max(0, fault.start - age_steps);
+  this->store.Restore(*first);
+  // The later copies are lost, too.
+  std::fill(first, this->copies.end(), MemoryStore::Copy(*first));
+}
+
 auto OwnershipSimulation::SetUp(Server& server, bool is_up) -> void {
   if (is_up && !server.is_up) {
     server.owner.started += std::chrono::milliseconds(1);
--- a/tests/keys/ownership_simulation.h
+++ b/tests/keys/ownership_simulation.h
@@ -25,14 +25,21 @@
     kServerUnresponsive,  ///< Calls to a server are lost; it serves on.
     kServerLeaves,        ///< A server's registration ends; it serves on.
     kDelayedCalls,        ///< Calls get no response and are executed later.
-    kLast = kDelayedCalls,
+    kStoreRestored,       ///< The store is down and returns from a copy.
+    kLast = kStoreRestored,
   };
   Kind kind = Kind::kHostFreeze;
-  int target = 0;  ///< Index of the host or server, modulo their number.
+  /// Index of the host or server, modulo their number; for kStoreRestored it
+  /// selects the age of the copy.
+  int target = 0;
   int start = 0;   ///< First step.
   int length = 0;  ///< Number of steps.
 };
 
+/// @return how long before the store went down the copy was taken from which
+///   it is restored: 1 to 9 s, another one for each target from 0 to 8.
+auto CopyAgeOf(const OwnerFault& fault) -> Duration;
+
 /// Simulates hosts that coordinate one service's keys, the service's servers
 /// and the store, on one manual clock. Checks at each step that no stripe has
 /// two holders, and that each new owner of a stripe has a higher fencing token.
@@ -91,6 +98,7 @@
 
   auto Step(const std::vector<OwnerFault>& faults) -> void;
   auto ApplyFaults(const std::vector<OwnerFault>& faults) -> void;
+  auto RestoreStore(const OwnerFault& fault) -> void;
   auto SetUp(Server& server, bool is_up) -> void;
   auto StepHost(int index) -> void;
   auto CallServers(int index) -> void;
@@ -111,6 +119,7 @@
   std::mt19937 random;
   std::vector<std::unique_ptr<Host>> hosts;
   std::vector<Server> servers;
+  std::vector<MemoryStore::Copy> copies;  ///< Of the store, at each step.
   std::deque<Call> calls;
   std::map<int, std::pair<KeyOwner, FencingToken>> last_accepted;
   std::string violation;
