Test the tables' followers across a restore of the store

The store comes back from an older copy, and its versions are assigned again.

What was seen (RapidCheck):

- A change under a reused version reaches no listener, neither the leader's nor another host's: the row that the restore took back stays delivered (DeliversChangesMadeAfterAStoreRollback, in both test programs, and TakesBackRowsThatTheRollbackLost).
- A feed from a version that the restored store has again skips the changes below it without an error (AFeedFromAReusedVersionSkipsNoChanges, in both programs; AFeedFromAReusedVersionHasNoHistory over the wire).

--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -15,6 +15,7 @@
 
 constexpr std::uint16_t kStorePort = 27391;
 constexpr std::uint16_t kPagedStorePort = 27392;
+constexpr std::uint16_t kRestoredStorePort = 27394;
 
 const char* const kSettings =
     R"({"node":"front-1","zone":"x","ip":"10.0.0.1","portRange":[7540,7555],
@@ -142,6 +143,30 @@
   });
 }
 
+// The store has the version of the feed again, with other rows below it.
+TEST(TableStoreClient, AFeedFromAReusedVersionHasNoHistory) {
+  FiberLoop loop;
+  WireStore store;
+  HttpServer server(LocalServerOptions(kRestoredStorePort), store);
+  server.Listen(loop);
+  RunInFiber(loop, [&] {
+    TableStoreClient client({"127.0.0.1", kRestoredStorePort});
+    store.Put({"t", "", "a"}, "1");
+    const auto copy = store.TakeCopy();
+    store.Put({"t", "", "a"}, "lost");
+    const auto read = client.Read("t", "");
+    store.Restore(copy, Duration(0));
+    for (const auto* key : {"b", "c"}) store.Put({"t", "", key}, "2");
+    EXPECT_THROW(client.Follow("t", read.version, milliseconds(1)),
+                 HistoryLost);
+    const auto after = client.Read("t", "");
+    EXPECT_EQ(after.rows.size(), 3U);
+    EXPECT_TRUE(
+        client.Follow("t", after.version, milliseconds(1)).rows.empty());
+    server.StopAccepting();
+  });
+}
+
 // The store bounds a page of rows in bytes. A page that is shorter than the
 // requested number of rows is then not the last one, and a client that stopped
 // there would take the servers on later pages for gone.
--- a/tests/store/relayed_store_test.cc
+++ b/tests/store/relayed_store_test.cc
@@ -344,9 +344,135 @@
   }
 }
 
-TEST(RelayedStore, AgreesWithTheStoreAfterAnyHistory) {
-  EXPECT_TRUE(
-      rc::check("both hosts have the stored rows, and no row regresses", [] {
+/// A leader and another host that both have rows and versions which a restore
+/// of the store takes back.
+class RolledBackStoreTest : public RelayedStoreTest {
+ protected:
+  using Rows = std::map<std::string, std::string>;
+
+  RolledBackStoreTest() {
+    this->memory.Put({kTable, "", "a"}, "1");
+    this->copy = this->memory.TakeCopy();
+    this->leader.Step();
+    this->Put("a", "lost");
+    this->Put("b", "lost");
+    this->Put("c", "lost");
+    this->leader.Step();
+    this->other.SyncFrom(this->leader, this->clock);
+    this->other.Step();
+  }
+  auto Put(const std::string& key, const std::string& value) -> void {
+    this->memory.Put({kTable, "", key}, value);
+  }
+  auto StepBoth() -> void {
+    for (int i = 0; i < 3; ++i) this->leader.Step();
+    this->other.SyncFrom(this->leader, this->clock);
+    for (int i = 0; i < 3; ++i) this->other.Step();
+  }
+
+  MemoryStore::Copy copy;
+};
+
+TEST_F(RolledBackStoreTest, BothHostsHaveTheRowsBeforeTheRollback) {
+  EXPECT_EQ(this->leader.recorder.rows.size(), 3U);
+  EXPECT_EQ(this->other.recorder.rows, this->leader.recorder.rows);
+}
+
+TEST_F(RolledBackStoreTest, DeliversChangesMadeAfterAStoreRollback) {
+  this->memory.Restore(this->copy);
+  this->Put("a", "2");
+  this->StepBoth();
+  const Rows expected = {{"a", "2"}};
+  EXPECT_EQ(this->leader.recorder.rows, expected);
+  EXPECT_EQ(this->other.recorder.rows, expected);
+}
+
+TEST_F(RolledBackStoreTest, TakesBackRowsThatTheRollbackLost) {
+  this->memory.Restore(this->copy);
+  this->StepBoth();
+  const Rows expected = {{"a", "1"}};
+  EXPECT_EQ(this->leader.recorder.rows, expected);
+  EXPECT_EQ(this->other.recorder.rows, expected);
+}
+
+// The version that the hosts have exists again, with other rows below it.
+TEST_F(RolledBackStoreTest, AFeedFromAReusedVersionSkipsNoChanges) {
+  this->memory.Restore(this->copy);
+  this->Put("a", "2");
+  for (const auto* key : {"d", "e", "f", "g"}) this->Put(key, "2");
+  this->StepBoth();
+  const Rows expected = {
+      {"a", "2"}, {"d", "2"}, {"e", "2"}, {"f", "2"}, {"g", "2"}};
+  EXPECT_EQ(this->leader.recorder.rows, expected);
+  EXPECT_EQ(this->other.recorder.rows, expected);
+}
+
+// The host reports a version of the older epoch, which the leader has again.
+TEST_F(RolledBackStoreTest, SendsASnapshotToAHostThatMissedTheRollback) {
+  this->memory.Restore(this->copy);
+  Host new_leader(this->memory, this->clock);
+  new_leader.store.SetLeader(true);
+  new_leader.Step();
+  this->Put("a", "2");
+  for (const auto* key : {"d", "e", "f", "g"}) this->Put(key, "2");
+  new_leader.Step();
+  const auto updates =
+      new_leader.store.UpdatesSince(this->other.store.Versions());
+  ASSERT_EQ(updates.size(), 1U);
+  EXPECT_TRUE(updates[0].is_full);
+  this->other.SyncFrom(new_leader, this->clock);
+  for (int i = 0; i < 3; ++i) this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows, new_leader.recorder.rows);
+}
+
+// The host reports a version of the older epoch above the leader's.
+TEST_F(RolledBackStoreTest, SendsASnapshotToAHostAheadOfTheRestoredStore) {
+  this->memory.Restore(this->copy);
+  Host new_leader(this->memory, this->clock);
+  new_leader.store.SetLeader(true);
+  new_leader.Step();
+  const auto updates =
+      new_leader.store.UpdatesSince(this->other.store.Versions());
+  ASSERT_EQ(updates.size(), 1U);
+  EXPECT_TRUE(updates[0].is_full);
+  this->other.SyncFrom(new_leader, this->clock);
+  for (int i = 0; i < 3; ++i) this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows, new_leader.recorder.rows);
+}
+
+// A leader that is cut off from the store sends rows that no longer exist.
+TEST_F(RolledBackStoreTest, RejectsUpdatesFromALeaderThatMissedTheRollback) {
+  this->memory.Restore(this->copy);
+  Host host(this->memory, this->clock);
+  host.Step();
+  const Rows expected = {{"a", "1"}};
+  ASSERT_EQ(host.recorder.rows, expected);
+  host.SyncFrom(this->leader, this->clock);
+  for (int i = 0; i < 3; ++i) host.Step();
+  EXPECT_EQ(host.recorder.rows, expected);
+}
+
+// The host has seen the newer epoch, but has to read the table again.
+TEST_F(RolledBackStoreTest, RejectsASnapshotFromALeaderThatMissedTheRollback) {
+  this->memory.Restore(this->copy);
+  Host host(this->memory, this->clock);
+  host.Step();
+  this->Put("a", "2");
+  this->memory.DropHistory();
+  host.Step();
+  host.store.on_wait = [&] { host.SyncFrom(this->leader, this->clock); };
+  for (int i = 0; i < 2; ++i) host.Step();
+  const Rows expected = {{"a", "2"}};
+  EXPECT_EQ(host.recorder.rows, expected);
+}
+
+/// Checks that both hosts have the stored rows, and that no row regresses,
+/// after any sequence of actions.
+/// @param actions  the number of kinds of actions; the last two take a copy of
+///   the store and restore it.
+auto AgreesWithTheStore(int actions) -> bool {
+  return rc::check(
+      "both hosts have the stored rows, and no row regresses", [&] {
         ManualClock clock;
         MemoryStore memory(clock);
         std::array<Host, 2> hosts = {Host(memory, clock), Host(memory, clock)};
@@ -356,10 +482,12 @@
         // that the table is unknown.
         memory.Put({kTable, "", "first"}, "1");
         std::map<std::string, std::string> expected = {{"first", "1"}};
+        auto copy = memory.TakeCopy();
+        auto expected_at_copy = expected;
         int writes = 0;
         const auto steps =
-            *rc::gen::container<std::vector<std::pair<int, int>>>(
-                rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::inRange(0, 4)));
+            *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
+                rc::gen::inRange(0, actions), rc::gen::inRange(0, 4)));
         for (const auto& [action, argument] : steps) {
           const auto key = std::to_string(argument);
           auto& other = hosts[1 - leader_index];
@@ -382,6 +510,14 @@
             leader_index = 1 - leader_index;
             hosts[leader_index].store.SetLeader(true);
           }
+          if (action == 10) {
+            copy = memory.TakeCopy();
+            expected_at_copy = expected;
+          }
+          if (action == 11) {
+            memory.Restore(copy);
+            expected = expected_at_copy;
+          }
         }
         memory.SetDown(false);
         const auto check = [&] {
@@ -408,7 +544,15 @@
         other.Step();
         RC_ASSERT(other.recording_store.reads == reads);
         check();
-      }));
+      });
+}
+
+TEST(RelayedStore, AgreesWithTheStoreAfterAnyHistory) {
+  EXPECT_TRUE(AgreesWithTheStore(10));
+}
+
+TEST(RelayedStore, AgreesWithTheStoreAfterAnyRollback) {
+  EXPECT_TRUE(AgreesWithTheStore(12));
 }
 
 }  // namespace
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -105,6 +105,34 @@
   EXPECT_TRUE(this->recorder.was_reachable_at_removal);
 }
 
+TEST_F(TableFollowerTest, DeliversChangesMadeAfterAStoreRollback) {
+  this->store.Put(kRowA, "1");
+  const auto copy = this->store.TakeCopy();
+  this->store.Put(kRowA, "lost");
+  this->store.Put(kRowB, "lost");
+  this->follower.Step();
+  this->store.Restore(copy);
+  this->store.Put(kRowA, "2");
+  for (int i = 0; i < 3; ++i) this->follower.Step();
+  EXPECT_EQ(this->recorder.rows.at("a"), "2");
+  EXPECT_EQ(this->recorder.rows.count("b"), 0U);
+}
+
+// The version that the follower has exists again, with other rows below it.
+TEST_F(TableFollowerTest, AFeedFromAReusedVersionSkipsNoChanges) {
+  this->store.Put(kRowA, "1");
+  const auto copy = this->store.TakeCopy();
+  this->store.Put(kRowA, "lost");
+  this->follower.Step();
+  this->store.Restore(copy);
+  this->store.Put(kRowB, "2");
+  this->store.Put({"t", "", "c"}, "2");
+  for (int i = 0; i < 3; ++i) this->follower.Step();
+  const std::map<std::string, std::string> expected = {
+      {"a", "1"}, {"b", "2"}, {"c", "2"}};
+  EXPECT_EQ(this->recorder.rows, expected);
+}
+
 TEST(TableFollower, DoesNotLongPollAStoreAfterAFailedCall) {
   ManualClock clock;
   MemoryStore memory(clock);
@@ -122,15 +150,21 @@
   EXPECT_EQ(store.last_wait, Options().wait);
 }
 
-TEST(TableFollower, AgreesWithTheStoreAfterAnyHistory) {
-  EXPECT_TRUE(rc::check("the rows delivered are the rows stored", [] {
+/// Checks that the rows delivered are the rows stored after any sequence of
+/// actions.
+/// @param actions  the number of kinds of actions; the last two take a copy of
+///   the store and restore it.
+auto AgreesWithTheStore(int actions) -> bool {
+  return rc::check("the rows delivered are the rows stored", [&] {
     ManualClock clock;
     MemoryStore store(clock);
     Recorder recorder;
     TableFollower follower(store, Options(), recorder);
     std::map<std::string, std::string> expected;
+    auto copy = store.TakeCopy();
+    auto expected_at_copy = expected;
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(0, 6), rc::gen::inRange(0, 4)));
+        rc::gen::pair(rc::gen::inRange(0, actions), rc::gen::inRange(0, 4)));
     for (const auto& [action, argument] : steps) {
       const auto key = std::to_string(argument);
       if (action <= 1) {
@@ -144,11 +178,27 @@
       if (action == 3) store.DropHistory();
       if (action == 4) store.SetDown(argument == 0);
       if (action == 5) follower.Step();
+      if (action == 6) {
+        copy = store.TakeCopy();
+        expected_at_copy = expected;
+      }
+      if (action == 7) {
+        store.Restore(copy);
+        expected = expected_at_copy;
+      }
     }
     store.SetDown(false);
     for (int i = 0; i < 3; ++i) follower.Step();
     RC_ASSERT(recorder.rows == expected);
-  }));
+  });
+}
+
+TEST(TableFollower, AgreesWithTheStoreAfterAnyHistory) {
+  EXPECT_TRUE(AgreesWithTheStore(6));
+}
+
+TEST(TableFollower, AgreesWithTheStoreAfterAnyRollback) {
+  EXPECT_TRUE(AgreesWithTheStore(8));
 }
 
 TEST(MemoryStore, WritesAllRowsOrNoneUnderConditions) {
