Order the store's versions by its epoch

What callers saw: after the store had been restored from a copy 9 s old, a confirmed change of the configuration was not in force in time.

Cause: a restore takes the store's versions back and assigns them again, while every copy of a table orders its updates by the number alone. RelayedTable ignored all updates below the highest number it had had, and a feed that continued under a number that had been assigned again skipped the changes below it without an error.

Change: StoreVersion is the transaction's number within an epoch of the store, ordered by epoch first. Versions are sent between hosts, and stored in logs, with their epoch.

In the other tests only the type of versions changes, but: a feed from a lost version of MemoryStore is HistoryLost even once its number exists again, and a write that holds by coincidence is kUnknown in place of kWritten, though it is made.

--- a/src/keys/coordinator_lease.cc
+++ b/src/keys/coordinator_lease.cc
@@ -30,7 +30,8 @@
 }
 
 auto CoordinatorLease::Step() -> Duration {
-  if (this->version != 0 && this->IsHeld()) return this->AcquireOrRenew();
+  if (this->version.number != 0 && this->IsHeld())
+    return this->AcquireOrRenew();
   return this->ReadLease();
 }
 
@@ -46,7 +47,7 @@
   this->store_time = batch.store_time;
   this->store_time_requested_at = sent_at;
   this->store_time_received_at = this->clock.Now();
-  this->version = 0;
+  this->version = {batch.version.epoch, 0};
   this->record.reset();
   for (const auto& row : batch.rows) {
     if (row.name.key == kLeaseRow.key) this->ParseRow(row);
@@ -72,7 +73,7 @@
   const auto expires_at = this->MinStoreTime(sent_at) + this->options.duration;
   StoreWrite write;
   write.conditions.push_back({kLeaseRow, this->version});
-  write.puts.push_back({kLeaseRow, this->Encode(expires_at), 0, false});
+  write.puts.push_back({kLeaseRow, this->Encode(expires_at), {}, false});
   const auto result = this->store.Write(write);
   if (result.outcome == WriteOutcome::kWritten) {
     this->free_since.reset();
@@ -85,7 +86,7 @@
   if (result.outcome == WriteOutcome::kConflict) {
     // Either another host acquired the lease, or the response to an earlier
     // write of this host was lost. The next read shows which.
-    this->version = 0;
+    this->version = StoreVersion();
     return Duration(kPollAfterExpiry);
   }
   // While the lease is held, retries come at the shortest interval.
@@ -109,13 +110,13 @@
 }
 
 auto CoordinatorLease::Resign() -> void {
-  if (this->version == 0 || !this->IsHeld()) return;
+  if (this->version.number == 0 || !this->IsHeld()) return;
   this->held_until = TimePoint{};
   StoreWrite write;
   write.conditions.push_back({kLeaseRow, this->version});
-  write.puts.push_back({kLeaseRow, this->Encode(Duration(0)), 0, false});
+  write.puts.push_back({kLeaseRow, this->Encode(Duration(0)), {}, false});
   this->store.Write(write);
-  this->version = 0;
+  this->version = StoreVersion();
 }
 
 auto CoordinatorLease::Condition() const -> RowCondition {
--- a/src/keys/coordinator_lease.h
+++ b/src/keys/coordinator_lease.h
@@ -94,7 +94,7 @@
   StoreClient& store;
   const Clock& clock;
   Options options;
-  StoreVersion version = 0;
+  StoreVersion version;
   std::optional<Record> record;
   TimePoint store_time_requested_at{};  ///< When the request for it was sent.
   TimePoint store_time_received_at{};
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -164,7 +164,7 @@
   GrantTiming timing;
   OwnerMap map;
   OwnerMap planned;
-  StoreVersion version = 0;
+  StoreVersion version;
   std::vector<EligibleServer> servers;
   std::vector<double> loads;
   std::vector<Stripe> stripes;
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -164,7 +164,7 @@
   for (const auto& [name, service] : this->services) {
     const auto& stored = service.coordinator.StoredOwners();
     const auto it = known.find(name);
-    const auto version = it == known.end() ? 0 : it->second;
+    const auto version = it == known.end() ? StoreVersion() : it->second;
     if (stored.version > version) newer.rows.push_back(stored);
   }
   return newer;
--- a/src/keys/owner_update.h
+++ b/src/keys/owner_update.h
@@ -18,8 +18,8 @@
   };
 
   ServiceName service;
-  StoreVersion base_version = 0;  ///< Version of the map that it applies to.
-  StoreVersion version = 0;       ///< Version of the changed map.
+  StoreVersion base_version;  ///< Version of the map that it applies to.
+  StoreVersion version;       ///< Version of the changed map.
   std::vector<Change> changes;
 
   /// @return the stripes whose token differs between the maps, with their
--- a/src/keys/service_coordinator.cc
+++ b/src/keys/service_coordinator.cc
@@ -69,7 +69,8 @@
     const auto batch = this->store.Read(kOwnersTable, "");
     if (!this->lease.IsHeld() || this->lease.Term() != term) return;
     OwnerMap map(this->stripe_count);
-    this->stored = StoreRow{RowOf(this->name), "", 0, false};
+    this->stored =
+        StoreRow{RowOf(this->name), "", {batch.version.epoch, 0}, false};
     for (const auto& row : batch.rows) {
       if (row.name.key != this->name.Value()) continue;
       map = OwnerMap::Decode(row.value);
@@ -87,7 +88,7 @@
 auto ServiceCoordinator::CanCommit() const -> bool {
   if (this->loaded_term != this->lease.Term()) return false;
   if (this->is_commit_unknown) return false;
-  if (this->scheduler.Version() != 0) return true;
+  if (this->scheduler.Version().number != 0) return true;
   return this->clock.Now() - this->server_count_changed_at >= kServerSettleTime;
 }
 
@@ -98,7 +99,7 @@
   write.conditions.push_back(this->lease.Condition());
   write.conditions.push_back({RowOf(this->name), this->scheduler.Version()});
   write.puts.push_back(
-      {RowOf(this->name), this->scheduler.PlannedMap().Encode(), 0, false});
+      {RowOf(this->name), this->scheduler.PlannedMap().Encode(), {}, false});
   const auto result = this->store.Write(write);
   if (result.outcome == WriteOutcome::kWritten) {
     const int moves = this->scheduler.PlannedMoves();
@@ -113,7 +114,8 @@
     this->stored.version = result.version;
     Log(events::kOwnersCommitted,
         {{"service", this->name.Value()},
-         {"version", result.version},
+         {"version", result.version.number},
+         {"store_epoch", result.version.epoch},
          {"moves", moves},
          {"fence", this->scheduler.Map().LastToken()}});
     return update;
--- a/src/router/owner_directory.cc
+++ b/src/router/owner_directory.cc
@@ -43,7 +43,7 @@
 auto OwnerDirectory::OnUpdate(const OwnerUpdate& update) -> void {
   auto& entry = this->services[update.service];
   if (update.version <= entry.version) return;
-  if (update.base_version != entry.version || entry.version == 0) {
+  if (update.base_version != entry.version || entry.version.number == 0) {
     this->RequestRead();
     return;
   }
--- a/src/router/owner_directory.h
+++ b/src/router/owner_directory.h
@@ -46,7 +46,7 @@
  private:
   struct ServiceOwners {
     OwnerMap map;
-    StoreVersion version = 0;
+    StoreVersion version;
   };
 
   /// Bounds of the interval between reads, however many are requested. The
--- a/src/router/store_listeners.cc
+++ b/src/router/store_listeners.cc
@@ -16,8 +16,9 @@
     auto config = this->schema.DecodeRoutes(row);
     if (!config || config->version <= this->version) return;
     this->version = config->version;
-    Log(events::kRoutesInForce,
-        {{"version", config->version}, {"store_version", row.version}});
+    Log(events::kRoutesInForce, {{"version", config->version},
+                                 {"store_version", row.version.number},
+                                 {"store_epoch", row.version.epoch}});
     this->on_routes(std::move(*config));
   } catch (const InputError& error) {
     Log(events::kRoutesUnread,
@@ -39,7 +40,8 @@
          {"service", entry.service.Value()},
          {"domain", entry.domain.Value()},
          {"state", entry.is_draining ? "draining" : "ready"},
-         {"store_version", row.version}});
+         {"store_version", row.version.number},
+         {"store_epoch", row.version.epoch}});
   } catch (const InputError& error) {
     this->directory.Remove(ServerId(row.name.key));
     if (!this->unreadable.insert(row.name.key).second) return;
--- a/src/standins/wire/store_backup.h
+++ b/src/standins/wire/store_backup.h
@@ -50,8 +50,8 @@
   const Clock& clock;
   std::set<std::string> rewritten_tables;
   std::deque<TimedCopy> copies;
-  std::vector<StoreRow> lost_rows;  ///< To be written again, in this order.
-  StoreVersion restored_version = 0;
+  std::vector<StoreRow> lost_rows;     ///< To be written again, in this order.
+  std::uint64_t restored_version = 0;  ///< Number of the last transaction.
   TimePoint rewrite_at{};
 };
 
--- a/src/store/memory_store.cc
+++ b/src/store/memory_store.cc
@@ -24,17 +24,20 @@
 }
 
 auto MemoryStore::Restore(const Copy& copy) -> void {
+  const auto epoch = this->Epoch() + 1;
   this->state = copy;
-  ++this->epoch;
+  this->state.version.epoch = epoch;
+  this->state.history_start.epoch = epoch;
+  for (auto& [id, row] : this->state.rows) row.version.epoch = epoch;
 }
 
 auto MemoryStore::Put(const RowName& name, const std::string& value) -> void {
-  ++this->state.version;
+  ++this->state.version.number;
   this->state.rows[IdOf(name)] = {name, value, this->state.version, false};
 }
 
 auto MemoryStore::Remove(const RowName& name) -> void {
-  ++this->state.version;
+  ++this->state.version.number;
   this->state.rows[IdOf(name)] = {name, "", this->state.version, true};
 }
 
@@ -58,7 +61,7 @@
   if (after < this->state.history_start) {
     throw HistoryLost("history was dropped");
   }
-  if (after > this->state.version) {
+  if (after > this->state.version || after.epoch != this->Epoch()) {
     throw HistoryLost("the version was lost in a restore");
   }
   RowBatch batch;
@@ -79,17 +82,20 @@
 auto MemoryStore::Write(const StoreWrite& write) -> WriteResult {
   WriteResult result;
   if (this->down) return result;
+  bool has_other_epoch = false;
   for (const auto& condition : write.conditions) {
+    has_other_epoch |= condition.version.epoch != this->Epoch();
     const auto row = this->Find(condition.name);
     if (row) result.rows.push_back(*row);
-    if ((row ? row->version : 0) != condition.version) {
+    // The store itself compares the numbers only.
+    if ((row ? row->version.number : 0) != condition.version.number) {
       result.outcome = WriteOutcome::kConflict;
     }
   }
   result.store_time = this->StoreTime();
   if (result.outcome == WriteOutcome::kConflict) return result;
   result.rows.clear();
-  ++this->state.version;
+  ++this->state.version.number;
   for (auto row : write.puts) {
     row.version = this->state.version;
     this->state.rows[IdOf(row.name)] = row;
@@ -101,6 +107,7 @@
     --this->responses_to_drop;
     return WriteResult();
   }
+  if (has_other_epoch) return result;
   result.outcome = WriteOutcome::kWritten;
   result.version = this->state.version;
   return result;
--- a/src/store/memory_store.h
+++ b/src/store/memory_store.h
@@ -18,8 +18,8 @@
   /// All that the store holds at one time.
   struct Copy {
     std::map<RowId, StoreRow> rows;  ///< Includes tombstones.
-    StoreVersion version = 0;
-    StoreVersion history_start = 0;
+    StoreVersion version;
+    StoreVersion history_start;
   };
 
   explicit MemoryStore(const Clock& clock) : clock(clock) {}
@@ -44,7 +44,9 @@
   /// their versions are assigned again.
   auto Restore(const Copy& copy) -> void;
   /// @return the number of restores so far.
-  [[nodiscard]] auto Epoch() const -> std::uint64_t { return this->epoch; }
+  [[nodiscard]] auto Epoch() const -> StoreEpoch {
+    return this->state.version.epoch;
+  }
   auto Put(const RowName& name, const std::string& value) -> void;
   auto Remove(const RowName& name) -> void;
   /// @return the row; empty if it does not exist or was deleted.
@@ -57,7 +59,6 @@
 
   const Clock& clock;
   Copy state;
-  std::uint64_t epoch = 0;
   bool down = false;
   int responses_to_drop = 0;
 };
--- a/src/store/relayed_table.cc
+++ b/src/store/relayed_table.cc
@@ -60,23 +60,23 @@
 }
 
 auto RelayedTable::Invalidate() -> void {
-  this->version = 0;
+  this->version = StoreVersion();
   if (this->update && !this->update->is_full) this->update.reset();
 }
 
 auto RelayedTable::FreshUntil() const -> TimePoint {
   // A copy that a pending snapshot has to replace is not up to date.
   const bool is_known =
-      this->version != 0 && !(this->update && this->update->is_full);
+      this->version.number != 0 && !this->HasPendingSnapshot();
   return is_known ? this->relayed_as_of + kMaxUpdateAge : TimePoint{};
 }
 
 auto RelayedTable::UpdateSince(StoreVersion after, TimePoint now) const
     -> std::optional<TableUpdate> {
-  if (this->version == 0) return std::nullopt;
+  if (this->version.number == 0) return std::nullopt;
   TableUpdate update;
   update.table = this->table;
-  update.is_full = after == 0 || after < this->history_start;
+  update.is_full = after.number == 0 || after < this->history_start;
   update.version = this->version;
   update.age = now - this->as_of;
   for (const auto& [key, row] : this->rows) {
--- a/src/store/relayed_table.h
+++ b/src/store/relayed_table.h
@@ -41,18 +41,26 @@
   /// update is discarded unless it is a snapshot.
   auto Invalidate() -> void;
 
+  /// @return whether a snapshot was received that TakeSnapshot() has not
+  /// applied.
+  [[nodiscard]] auto HasPendingSnapshot() const -> bool {
+    return this->update && this->update->is_full;
+  }
   /// @return until when the store need not be read; the zero time point if the
   ///   copy is unknown or has to be replaced by a pending snapshot.
   [[nodiscard]] auto FreshUntil() const -> TimePoint;
-  /// @return the version of the copy; 0 if it is unknown.
+  /// @return the version of the copy; its number is 0 if the copy is unknown.
   [[nodiscard]] auto Version() const -> StoreVersion { return this->version; }
   /// @return the latest time as of which the copy is known to be up to date.
   [[nodiscard]] auto AsOf() const -> TimePoint {
     return std::max(this->as_of, this->relayed_as_of);
   }
-  /// @param after  the version of the receiving host's copy; 0 if it has none.
-  /// @return the rows with a higher version, or a snapshot if the deletions
-  ///   since that version are no longer kept; empty if this copy is unknown.
+  /// @param after  the version of the receiving host's copy; number 0 if it has
+  ///   none.
+  /// @return the rows with a higher version, or a snapshot if that version is
+  /// of
+  ///   an earlier epoch or the deletions since are no longer kept; empty if
+  ///   this copy is unknown.
   [[nodiscard]] auto UpdateSince(StoreVersion after, TimePoint now) const
       -> std::optional<TableUpdate>;
 
@@ -67,9 +75,9 @@
   std::string table;
   std::map<std::string, StoreRow> rows;  ///< By key; includes tombstones.
   /// Tombstones of all deletions after this version are kept.
-  StoreVersion history_start = 0;
-  StoreVersion version = 0;  ///< 0 while the copy is unknown.
-  StoreVersion floor = 0;  ///< Highest version ever; older updates are ignored.
+  StoreVersion history_start;
+  StoreVersion version;  ///< Number 0 while the copy is unknown.
+  StoreVersion floor;    ///< Highest version ever; older updates are ignored.
   TimePoint as_of{};
   std::optional<TableUpdate> update;  ///< Received but not yet applied.
   TimePoint relayed_as_of{};  ///< Like `as_of`, by the updates received.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -8,5 +8,6 @@
 #include "store/memory_store.h"
 #include "store/relayed_store.h"
 #include "store/store_client.h"
+#include "store/store_version.h"
 #include "store/table_follower.h"
 #include "store/table_update.h"
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "store/store_version.h"
 
 namespace currantbeam {
 
@@ -14,17 +15,13 @@
   using Error::Error;
 };
 
-/// The store no longer keeps the changes since the version asked for; the table
-/// has to be read again.
+/// The store no longer keeps the changes since the version asked for, or was
+/// rolled back since; the table has to be read again.
 class HistoryLost : public StoreError {
  public:
   using StoreError::StoreError;
 };
 
-/// The number of transactions that the store has committed. As a row's version,
-/// 0 means that the row does not exist.
-using StoreVersion = std::uint64_t;
-
 /// Identifies a row. All rows of a transaction are in one partition.
 struct RowName {
   std::string table;
@@ -35,14 +32,15 @@
 struct StoreRow {
   RowName name;
   std::string value;  ///< Any bytes.
-  StoreVersion version = 0;
+  StoreVersion version;
   bool is_deleted = false;  ///< Only in change feeds: a tombstone.
 };
 
-/// A precondition of a write: the row has this version.
+/// A precondition of a write: the row has this version, or it does not exist if
+/// the version's number is 0.
 struct RowCondition {
   RowName name;
-  StoreVersion version = 0;
+  StoreVersion version;
 };
 
 /// A transaction: all of its writes take effect, or none.
@@ -57,13 +55,14 @@
   kConflict,  ///< A condition was not met; nothing was written.
   kRejected,  ///< The store refused; nothing was written.
   kUnknown,   ///< No response: the write may have taken effect, or may
-              ///< later.
+              ///< later. Also if it took effect in another epoch than that of
+              ///< its conditions, which may have held by coincidence.
 };
 
 /// The result of a write.
 struct WriteResult {
   WriteOutcome outcome = WriteOutcome::kUnknown;
-  StoreVersion version = 0;    ///< If written: the new version of the rows.
+  StoreVersion version;        ///< If written: the new version of the rows.
   Duration store_time{0};      ///< If the store responded: its clock.
   std::vector<StoreRow> rows;  ///< In a conflict: the current rows.
 };
@@ -71,7 +70,7 @@
 /// Rows of one table, complete up to a version.
 struct RowBatch {
   std::vector<StoreRow> rows;
-  StoreVersion version = 0;
+  StoreVersion version;
   Duration store_time{0};  ///< The store's steady clock.
 };
 
@@ -90,7 +89,8 @@
   /// @param wait  how long the store may delay the response if nothing changed.
   /// @return the changed rows in the order of their versions, including
   ///   tombstones; no rows if nothing changed.
-  /// @throws HistoryLost if the store dropped the history after that version.
+  /// @throws HistoryLost if the store dropped the history after that version,
+  ///   or is in a later epoch.
   /// @throws StoreError if the call fails.
   virtual auto Follow(const std::string& table, StoreVersion after,
                       std::chrono::milliseconds wait) -> RowBatch = 0;
--- a/src/store/table_follower.h
+++ b/src/store/table_follower.h
@@ -58,7 +58,7 @@
   FollowOptions options;
   TableListener& listener;
   std::map<std::string, StoreVersion> row_versions;  ///< By key.
-  StoreVersion version = 0;
+  StoreVersion version;
   bool has_snapshot = false;
   bool reachable = true;
   std::chrono::milliseconds retry_delay{0};
--- a/src/store/table_update.h
+++ b/src/store/table_update.h
@@ -11,8 +11,8 @@
 /// that changed since the version of the receiver's copy.
 struct TableUpdate {
   std::string table;
-  bool is_full = false;      ///< True if `rows` is the whole table.
-  StoreVersion version = 0;  ///< Rows are complete up to this version.
+  bool is_full = false;  ///< True if `rows` is the whole table.
+  StoreVersion version;  ///< Rows are complete up to this version.
   /// Time since the sender's copy was last known to be up to date.
   Duration age{0};
   std::vector<StoreRow> rows;
