Keep one coordinator when a rollback takes the lease row back

What callers saw: after a restore of the store, two servers held the same keys.

Cause: the restored row may name a holder of some seconds ago. That host took it for its own lease and acquired it, while the last holder's lease, which the store has lost, still ran: two coordinators granted keys. The last holder in turn could renew under a version that belongs to another transaction by now.

Change: the row says in which epoch it was written. A row of an earlier epoch proves nothing about the last lease: a host then waits until all leases of earlier epochs have expired, counted from when it first saw the new epoch, except for the one that still holds its lease, which no other host can hold; it continues its term in the new epoch. The row also says in which epoch the fleet's first lease was acquired, as a missing row is free then.

Evidence: AFormerHolderWaitsForTheLeaseThatTheStoreLost failed before: both leases were held at once. It and four others pass.

--- a/src/keys/coordinator_lease.cc
+++ b/src/keys/coordinator_lease.cc
@@ -13,6 +13,9 @@
 constexpr auto kMaxJitter = std::chrono::milliseconds(200);
 constexpr auto kPollAfterExpiry = std::chrono::milliseconds(20);
 constexpr int kRenewalsPerLease = 3;
+/// While an unknown host may hold the lease, the row is read this often, as
+/// that host writes it again.
+constexpr auto kLostLeasePollInterval = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -47,19 +50,55 @@
   this->store_time = batch.store_time;
   this->store_time_requested_at = sent_at;
   this->store_time_received_at = this->clock.Now();
+  this->ObserveEpoch(batch.version.epoch);
   this->version = {batch.version.epoch, 0};
   this->record.reset();
   for (const auto& row : batch.rows) {
     if (row.name.key == kLeaseRow.key) this->ParseRow(row);
   }
+  this->first_epoch = this->FirstEpoch();
+  const auto lease_remaining = this->LeaseRemaining();
+  if (lease_remaining > Duration(0)) {
+    this->free_since.reset();
+    return lease_remaining + this->Jitter();
+  }
+  return this->HasYielded() ? this->AcquireOrRenew()
+                            : this->options.yield_delay;
+}
+
+auto CoordinatorLease::LeaseRemaining() const -> Duration {
+  if (this->IsRecordRolledBack()) return this->LostLeaseRemaining();
   const bool is_free = !this->record ||
-                       this->record->expires_at <= batch.store_time ||
+                       this->record->expires_at <= this->store_time ||
                        this->record->holder == this->options.holder;
-  if (is_free && !this->HasYielded()) return this->options.yield_delay;
-  if (is_free) return this->AcquireOrRenew();
-  this->free_since.reset();
-  return this->record->expires_at - batch.store_time + kPollAfterExpiry +
-         this->Jitter();
+  if (is_free) return Duration(0);
+  return this->record->expires_at - this->store_time + kPollAfterExpiry;
+}
+
+auto CoordinatorLease::ObserveEpoch(StoreEpoch epoch) -> void {
+  if (epoch == this->observed_epoch) return;
+  this->has_epoch_changed |= this->epoch_observed_at != TimePoint{};
+  this->observed_epoch = epoch;
+  this->epoch_observed_at = this->clock.Now();
+}
+
+auto CoordinatorLease::IsRecordRolledBack() const -> bool {
+  if (this->record) return this->record->epoch != this->observed_epoch;
+  const bool is_first_lease =
+      this->options.is_first_start && !this->has_epoch_changed;
+  return this->observed_epoch != 0 && !is_first_lease;
+}
+
+auto CoordinatorLease::FirstEpoch() const -> StoreEpoch {
+  if (this->record) return this->record->first_epoch;
+  return this->IsRecordRolledBack() ? 0 : this->observed_epoch;
+}
+
+auto CoordinatorLease::LostLeaseRemaining() const -> Duration {
+  // The last holder of an earlier epoch is the only one.
+  if (this->IsHeld()) return Duration(0);
+  const Duration remaining = this->LostLeaseEnd() - this->clock.Now();
+  return std::min<Duration>(remaining, kLostLeasePollInterval);
 }
 
 auto CoordinatorLease::HasYielded() -> bool {
@@ -78,8 +117,9 @@
   if (result.outcome == WriteOutcome::kWritten) {
     this->free_since.reset();
     this->version = result.version;
-    this->record =
-        Record{this->options.holder, this->options.endpoint, expires_at};
+    this->epoch = result.version.epoch;
+    this->record = Record{this->options.holder, this->options.endpoint,
+                          expires_at, this->epoch, this->first_epoch};
     this->OnAcquired(sent_at, result.store_time);
     return this->options.duration / kRenewalsPerLease;
   }
@@ -134,10 +174,10 @@
 
 auto CoordinatorLease::Encode(Duration expires_at) -> std::string {
   // The count makes each written value unique.
-  return nlohmann::json{{"holder", this->options.holder},
-                        {"endpoint", this->options.endpoint},
-                        {"until_us", expires_at.count()},
-                        {"write", ++this->write_count}}
+  return nlohmann::json{
+      {"holder", this->options.holder},   {"endpoint", this->options.endpoint},
+      {"until_us", expires_at.count()},   {"epoch", this->version.epoch},
+      {"first_epoch", this->first_epoch}, {"write", ++this->write_count}}
       .dump();
 }
 
@@ -147,7 +187,9 @@
     const auto json = nlohmann::json::parse(text);
     return Record{json.at("holder").get<std::string>(),
                   json.at("endpoint").get<std::string>(),
-                  Duration(json.at("until_us").get<std::int64_t>())};
+                  Duration(json.at("until_us").get<std::int64_t>()),
+                  json.value("epoch", StoreEpoch(0)),
+                  json.value("first_epoch", StoreEpoch(0))};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/src/keys/coordinator_lease.h
+++ b/src/keys/coordinator_lease.h
@@ -9,7 +9,10 @@
 
 /// The lease of the active KeyCoordinator: a row in the store that one host at
 /// a time holds. The row states the expiry in the store's time, so another host
-/// can acquire the lease as soon as it expires.
+/// can acquire the lease as soon as it expires. After a rollback of the store
+/// the row may name an earlier holder: the last one then continues its lease in
+/// the new epoch, and other hosts wait until any lease of an earlier epoch has
+/// expired.
 class CoordinatorLease {
  public:
   struct Options {
@@ -56,6 +59,19 @@
   [[nodiscard]] auto HolderEndpoint() const -> std::string {
     return this->record ? this->record->endpoint : std::string();
   }
+  /// @return the epoch of the store in which the lease was last acquired or
+  ///   renewed.
+  [[nodiscard]] auto Epoch() const -> StoreEpoch { return this->epoch; }
+  /// @return whether the store may have lost rows in a rollback since the first
+  ///   lease; call while the lease is held.
+  [[nodiscard]] auto MayHaveLostRows() const -> bool {
+    return this->first_epoch != this->epoch;
+  }
+  /// @return the latest time at which another host can have held the lease by a
+  ///   record that the store lost.
+  [[nodiscard]] auto LostLeaseEnd() const -> TimePoint {
+    return this->epoch_observed_at + this->options.duration;
+  }
   /// @return how many times this process acquired the lease; renewals before
   ///   the expiry don't count.
   [[nodiscard]] auto Term() const -> int { return this->term; }
@@ -65,12 +81,28 @@
   struct Record {
     std::string holder;
     std::string endpoint;
-    Duration expires_at{0};  ///< In the store's time.
+    Duration expires_at{0};      ///< In the store's time.
+    StoreEpoch epoch = 0;        ///< In which the record was written.
+    StoreEpoch first_epoch = 0;  ///< In which the first record was written.
   };
 
   /// Reads the row, and acquires the lease if it is free.
   /// @return the delay until the next Step().
   auto ReadLease() -> Duration;
+  /// Records the epoch of a response, and when it was first seen.
+  auto ObserveEpoch(StoreEpoch epoch) -> void;
+  /// @return the time until the next read of a lease that another host holds;
+  ///   zero or negative if it is free.
+  [[nodiscard]] auto LeaseRemaining() const -> Duration;
+  /// @return whether the record that was read, or its absence, is from before a
+  ///   rollback of the store.
+  [[nodiscard]] auto IsRecordRolledBack() const -> bool;
+  /// @return the epoch of the first lease, by the record that was read; 0 if it
+  ///   is unknown.
+  [[nodiscard]] auto FirstEpoch() const -> StoreEpoch;
+  /// @return the time until the next read of a lease that another host may
+  ///   hold by a record that the store lost; zero or negative if none can.
+  [[nodiscard]] auto LostLeaseRemaining() const -> Duration;
   auto NextRetryDelay() -> Duration;
   /// @return a delay that differs between hosts, so that they don't read the
   ///   same lease at the same time.
@@ -104,6 +136,11 @@
   Duration retry_delay = kInitialRetryDelay;
   std::uint64_t write_count = 0;
   int term = 0;
+  StoreEpoch epoch = 0;        ///< Of the last acquisition or renewal.
+  StoreEpoch first_epoch = 0;  ///< Of the first lease of all hosts.
+  StoreEpoch observed_epoch = 0;
+  TimePoint epoch_observed_at{};   ///< When it was first observed.
+  bool has_epoch_changed = false;  ///< Since the start of this process.
 };
 
 }  // namespace currantbeam
--- /dev/null
+++ b/tests/keys/lease_rollback_test.cc
@@ -0,0 +1,105 @@
+#include <gtest/gtest.h>
+
+#include "keys/keys.h"
+
+namespace currantbeam {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class LeaseRollbackTest : public testing::Test {
+ protected:
+  auto OptionsOf(const std::string& holder, bool is_first_start)
+      -> CoordinatorLease::Options {
+    CoordinatorLease::Options options;
+    options.holder = holder;
+    options.is_first_start = is_first_start;
+    return options;
+  }
+  /// Steps the lease until it is held.
+  /// @return the time that it took; at most ten seconds.
+  auto TimeToAcquire(CoordinatorLease& lease) -> Duration {
+    const auto started_at = this->clock.Now();
+    while (!lease.IsHeld() && this->clock.Now() < started_at + seconds(10)) {
+      this->clock.Advance(lease.Step());
+    }
+    return this->clock.Now() - started_at;
+  }
+
+  ManualClock clock;
+  MemoryStore store{this->clock};
+  CoordinatorLease former{this->store, this->clock, OptionsOf("former", true)};
+  CoordinatorLease last{this->store, this->clock, OptionsOf("last", true)};
+};
+
+TEST_F(LeaseRollbackTest, AFormerHolderWaitsForTheLeaseThatTheStoreLost) {
+  this->former.Step();
+  const auto copy = this->store.TakeCopy();
+  this->former.Resign();
+  this->last.Step();
+  ASSERT_TRUE(this->last.IsHeld());
+  this->store.Restore(copy);
+  this->former.Step();
+  EXPECT_FALSE(this->former.IsHeld());
+  this->TimeToAcquire(this->former);
+  EXPECT_FALSE(this->last.IsHeld());
+}
+
+TEST_F(LeaseRollbackTest, TheLastHolderContinuesItsTerm) {
+  this->former.Step();
+  const auto copy = this->store.TakeCopy();
+  this->former.Resign();
+  this->last.Step();
+  const int term = this->last.Term();
+  this->store.Restore(copy);
+  for (int i = 0; i < 3; ++i) this->clock.Advance(this->last.Step());
+  EXPECT_TRUE(this->last.IsHeld());
+  EXPECT_EQ(this->last.Term(), term);
+  EXPECT_EQ(this->last.Epoch(), 1U);
+  this->former.Step();
+  EXPECT_FALSE(this->former.IsHeld());
+}
+
+TEST_F(LeaseRollbackTest, AHostWaitsIfTheStoreLostTheFirstLease) {
+  const auto empty = this->store.TakeCopy();
+  this->last.Step();
+  this->store.Restore(empty);
+  CoordinatorLease restarted(this->store, this->clock,
+                             OptionsOf("restarted", false));
+  this->TimeToAcquire(restarted);
+  EXPECT_FALSE(this->last.IsHeld());
+  EXPECT_TRUE(restarted.MayHaveLostRows());
+}
+
+TEST_F(LeaseRollbackTest, TheFirstLeaseOfAFleetIsFreeInAnyEpoch) {
+  this->store.Restore(this->store.TakeCopy());
+  this->former.Step();
+  EXPECT_TRUE(this->former.IsHeld());
+  EXPECT_FALSE(this->former.MayHaveLostRows());
+}
+
+// The write was sent before the rollback and is made after it, under a version
+// that was assigned again.
+TEST_F(LeaseRollbackTest, ALateWriteOfAnEarlierEpochIsNoLease) {
+  this->former.Step();
+  const auto copy = this->store.TakeCopy();
+  const RowName row = {"keeper", "", "lease"};
+  this->former.Step();
+  const auto late = *this->store.Find(row);
+  this->store.Restore(copy);
+  this->clock.Advance(this->former.Step());
+  this->former.Step();
+  ASSERT_TRUE(this->former.IsHeld());
+  StoreWrite write;
+  write.conditions.push_back({row, this->store.Find(row)->version});
+  write.puts.push_back(late);
+  this->store.Write(write);
+  for (int i = 0; i < 3; ++i) this->clock.Advance(this->former.Step());
+  EXPECT_TRUE(this->former.IsHeld());
+  this->last.Step();
+  EXPECT_FALSE(this->last.IsHeld());
+}
+
+}  // namespace
+}  // namespace currantbeam
