Keep tokens rising, and moved keys with one server, across a rollback

Cause: the coordinator took its next token from a number stored in the row that goes back, and took the owners in that row for the holders of their keys, though servers that got keys in the lost span still held them.

Change: an OwnerMap says in which epoch it is valid; the tokens of an epoch are above all tokens of earlier ones, including those that the store lost. When the epoch changes, a coordinator whose lease continues keeps its own map, which is the newest one, and commits it again. One that takes over finds a map of an earlier epoch and neither grants nor plans anything until the last grant that a coordinator of an earlier epoch can have sent has expired. A commit that conflicts no longer makes the map count as not loaded, which would end that continuity.

What remains: a takeover beside a rollback leaves keys without an owner for some seconds once the last grants have expired, as nobody knows who held them.

--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -24,11 +24,14 @@
 auto GrantScheduler::Load(OwnerMap map, StoreVersion version) -> void {
   const auto now = this->clock.Now();
   this->map = std::move(map);
+  this->map.BeginEpoch(version.epoch);
   this->version = version;
   this->stripes.assign(this->map.StripeCount(), Stripe());
   ++this->epoch;
   this->last_response_at.clear();
   this->is_commit_pending = false;
+  this->is_commit_due = false;
+  this->paused_until = TimePoint{};
   this->rebalanced_at = now;
   this->committed_at = now - kMinTokenRaiseInterval;
   for (int i = 0; i < this->map.StripeCount(); ++i) {
@@ -43,6 +46,20 @@
   }
 }
 
+auto GrantScheduler::LoadRolledBack(OwnerMap map, StoreVersion version,
+                                    TimePoint last_granted_at) -> void {
+  this->Load(std::move(map), version);
+  this->paused_until =
+      this->LatestExpiry(last_granted_at, this->timing.max_ttl);
+}
+
+auto GrantScheduler::ContinueAfterRollback(StoreVersion version) -> void {
+  this->map.BeginEpoch(version.epoch);
+  this->version = version;
+  this->is_commit_pending = false;
+  this->is_commit_due = true;
+}
+
 auto GrantScheduler::OnOwnerUnreachable(const KeyOwner& owner) -> void {
   this->last_response_at.erase(owner.id);
   for (int i = 0; i < this->map.StripeCount(); ++i) {
@@ -205,6 +222,7 @@
 
 auto GrantScheduler::TakeDueCommands() -> std::vector<KeyCommand> {
   const auto now = this->clock.Now();
+  if (now < this->paused_until) return {};
   this->UpdatePhases(now);
   this->CheckResponseAges(now);
   this->Rebalance(now);
@@ -295,6 +313,7 @@
 }
 
 auto GrantScheduler::PlanChange() -> bool {
+  if (this->clock.Now() < this->paused_until) return false;
   if (this->IsBatching(this->clock.Now())) return false;
   const auto moves = StripePlanner::AssignStripes(this->Placement());
   bool has_stale_token = false;
@@ -305,7 +324,8 @@
   }
   const bool is_recent =
       this->clock.Now() - this->committed_at < kMinTokenRaiseInterval;
-  if (moves.empty() && (!has_stale_token || is_recent)) return false;
+  const bool must_raise_tokens = has_stale_token && !is_recent;
+  if (moves.empty() && !must_raise_tokens && !this->is_commit_due) return false;
   this->planned = this->map;
   const auto token = this->planned.NextToken();
   for (const auto& move : moves) {
@@ -345,6 +365,7 @@
     stripe.due_at = now;
   }
   this->is_commit_pending = false;
+  this->is_commit_due = false;
   this->map = this->planned;
   this->version = version;
   this->committed_at = now;
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -57,8 +57,19 @@
 
   /// Starts from a stored map. Grants of the previous coordinator may still be
   /// running, so every owner counts as holding its stripes for the longest time
-  /// to live, and every token is raised before the first grant.
+  /// to live, and every token is raised before the first grant. The map
+  /// continues in the version's epoch.
   auto Load(OwnerMap map, StoreVersion version) -> void;
+  /// Starts from a stored map of an earlier epoch, which may lack the last
+  /// changes: any server may hold any stripe until the grants of coordinators
+  /// of earlier epochs have expired. Nothing is granted or planned before that.
+  /// @param last_granted_at  the latest time of such a grant.
+  auto LoadRolledBack(OwnerMap map, StoreVersion version,
+                      TimePoint last_granted_at) -> void;
+  /// Continues with the current map after the store was rolled back to an
+  /// earlier one; the map has to be committed again.
+  /// @param version  of the map in the store.
+  auto ContinueAfterRollback(StoreVersion version) -> void;
   /// @param servers  all servers that may own keys. Stripes of other servers
   ///   are released.
   /// @param loads  by stripe; empty if unknown.
@@ -176,6 +187,9 @@
   bool is_lease_expiring = false;
   bool is_commit_pending = false;  ///< From PlanChange() to OnCommitted() or
                                    ///< Load().
+  bool is_commit_due = false;      ///< Even if the map does not change.
+  /// Until then, unknown servers may hold stripes.
+  TimePoint paused_until{};
   int epoch = 0;
 };
 
--- a/src/keys/owner_map.cc
+++ b/src/keys/owner_map.cc
@@ -5,6 +5,14 @@
 #include "core/cbor.h"
 
 namespace currantbeam {
+namespace {
+
+/// The tokens of an epoch start at the epoch shifted by this many bits. Tokens
+/// stay exact in peers that read JSON numbers as doubles while epochs have at
+/// most 21 bits.
+constexpr int kTokenBitsPerEpoch = 32;
+
+}  // namespace
 
 auto to_json(nlohmann::json& json, const KeyOwner& owner) -> void {
   json = {owner.id, owner.started.count(), owner.address, owner.port};
@@ -28,6 +36,11 @@
   this->last_token = std::max(this->last_token, token);
 }
 
+auto OwnerMap::BeginEpoch(StoreEpoch epoch) -> void {
+  this->epoch = epoch;
+  this->last_token = std::max(this->last_token, epoch << kTokenBitsPerEpoch);
+}
+
 auto OwnerMap::IndexOf(const KeyOwner& owner) -> int {
   const auto it = std::find(this->owners.begin(), this->owners.end(), owner);
   if (it != this->owners.end()) {
@@ -66,7 +79,8 @@
   const nlohmann::json json = {{"owners", owners},
                                {"stripes", indexes},
                                {"fences", tokens},
-                               {"last", compact.last_token}};
+                               {"last", compact.last_token},
+                               {"epoch", compact.epoch}};
   return ToCbor(json);
 }
 
@@ -92,6 +106,8 @@
       map.stripes[i] = {index, tokens[i].get<FencingToken>()};
     }
     map.last_token = json.at("last").get<FencingToken>();
+    // Maps stored by earlier versions of the program have no epoch.
+    map.epoch = json.value("epoch", StoreEpoch(0));
     return map;
   });
 }
--- a/src/keys/owner_map.h
+++ b/src/keys/owner_map.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "store/store_version.h"
 
 namespace currantbeam {
 
@@ -84,6 +85,12 @@
   [[nodiscard]] auto LastToken() const -> FencingToken {
     return this->last_token;
   }
+  /// @return the epoch of the store in which the map is valid. A map that the
+  ///   store holds in a later epoch was rolled back, so newer owners may exist.
+  [[nodiscard]] auto Epoch() const -> StoreEpoch { return this->epoch; }
+  /// Continues the map in a later epoch of the store. Further tokens are higher
+  /// than all tokens of earlier epochs, including those that the store lost.
+  auto BeginEpoch(StoreEpoch epoch) -> void;
   /// Reserves and returns a token higher than all others in this map.
   auto NextToken() -> FencingToken { return ++this->last_token; }
   auto Assign(int stripe, const KeyOwner& owner, FencingToken token) -> void;
@@ -106,6 +113,7 @@
   std::vector<KeyOwner> owners;
   std::vector<Stripe> stripes;
   FencingToken last_token = 0;
+  StoreEpoch epoch = 0;
 };
 
 }  // namespace currantbeam
--- a/src/keys/service_coordinator.cc
+++ b/src/keys/service_coordinator.cc
@@ -10,6 +10,9 @@
 /// The first owners are chosen once the number of servers has not changed for
 /// this long.
 constexpr auto kServerSettleTime = std::chrono::milliseconds(1000);
+/// How long a coordinator waits for the renewal of its lease after it has found
+/// that the store was rolled back.
+constexpr auto kLeaseRenewalDelay = std::chrono::milliseconds(100);
 
 auto RowOf(const ServiceName& service) -> RowName {
   return {kOwnersTable, "", service.Value()};
@@ -31,16 +34,23 @@
       stripe_count(stripe_count) {}
 
 auto ServiceCoordinator::LoadIfNeeded() -> void {
-  if (!this->lease.IsHeld()) return;
-  if (this->loaded_term == this->lease.Term() && !this->is_commit_unknown) {
-    return;
-  }
+  if (!this->lease.IsHeld() || !this->NeedsLoad()) return;
+  if (this->clock.Now() < this->next_load_at) return;
   this->Load();
 }
 
+auto ServiceCoordinator::IsLoaded() const -> bool {
+  return this->loaded_term == this->lease.Term();
+}
+
+auto ServiceCoordinator::NeedsLoad() const -> bool {
+  return !this->IsLoaded() || this->loaded_epoch != this->lease.Epoch() ||
+         this->is_commit_unknown || this->has_conflict;
+}
+
 auto ServiceCoordinator::TakeDueCommands(std::vector<EligibleServer> servers)
     -> std::vector<KeyCommand> {
-  if (this->loaded_term != this->lease.Term()) return {};
+  if (!this->IsLoaded() || this->has_conflict) return {};
   this->UpdateServers(std::move(servers));
   this->scheduler.SetRemainingLease(this->lease.Remaining());
   return this->scheduler.TakeDueCommands();
@@ -68,26 +78,48 @@
   try {
     const auto batch = this->store.Read(kOwnersTable, "");
     if (!this->lease.IsHeld() || this->lease.Term() != term) return;
+    if (batch.version.epoch != this->lease.Epoch()) {
+      // The lease has to be renewed in the new epoch first.
+      this->next_load_at = this->clock.Now() + kLeaseRenewalDelay;
+      return;
+    }
     OwnerMap map(this->stripe_count);
-    this->stored =
-        StoreRow{RowOf(this->name), "", {batch.version.epoch, 0}, false};
-    for (const auto& row : batch.rows) {
-      if (row.name.key != this->name.Value()) continue;
-      map = OwnerMap::Decode(row.value);
-      this->stored = row;
+    StoreRow row{RowOf(this->name), "", {batch.version.epoch, 0}, false};
+    for (const auto& stored_row : batch.rows) {
+      if (stored_row.name.key != this->name.Value()) continue;
+      map = OwnerMap::Decode(stored_row.value);
+      row = stored_row;
     }
-    this->scheduler.Load(std::move(map), this->stored.version);
-    this->loaded_term = term;
-    this->is_commit_unknown = false;
+    this->OnRead(std::move(map), std::move(row));
   } catch (const Error& error) {
     Log(events::kOwnersUnread,
         {{"service", this->name.Value()}, {"error", error.what()}});
   }
 }
 
+auto ServiceCoordinator::OnRead(OwnerMap map, StoreRow row) -> void {
+  const bool is_rolled_back = row.version.number == 0
+                                  ? this->lease.MayHaveLostRows()
+                                  : map.Epoch() != row.version.epoch;
+  if (is_rolled_back && this->IsLoaded()) {
+    // Only this coordinator has changed the map since, so its own copy is the
+    // newest one.
+    this->scheduler.ContinueAfterRollback(row.version);
+  } else if (is_rolled_back) {
+    this->scheduler.LoadRolledBack(std::move(map), row.version,
+                                   this->lease.LostLeaseEnd());
+  } else {
+    this->scheduler.Load(std::move(map), row.version);
+    this->stored = std::move(row);
+  }
+  this->loaded_term = this->lease.Term();
+  this->loaded_epoch = this->lease.Epoch();
+  this->is_commit_unknown = false;
+  this->has_conflict = false;
+}
+
 auto ServiceCoordinator::CanCommit() const -> bool {
-  if (this->loaded_term != this->lease.Term()) return false;
-  if (this->is_commit_unknown) return false;
+  if (this->NeedsLoad()) return false;
   if (this->scheduler.Version().number != 0) return true;
   return this->clock.Now() - this->server_count_changed_at >= kServerSettleTime;
 }
@@ -123,7 +155,7 @@
   // Without a response the write may have been made, or may be made later.
   // Owners that it does not change are granted their keys meanwhile.
   this->is_commit_unknown = true;
-  if (result.outcome == WriteOutcome::kConflict) this->loaded_term = 0;
+  this->has_conflict = result.outcome == WriteOutcome::kConflict;
   Log(result.outcome == WriteOutcome::kUnknown ? events::kCommitUnknown
                                                : events::kCommitConflict,
       {{"row", "owners/" + this->name.Value()}});
--- a/src/keys/service_coordinator.h
+++ b/src/keys/service_coordinator.h
@@ -25,8 +25,8 @@
 
   [[nodiscard]] auto Name() const -> const ServiceName& { return this->name; }
   /// Loads the map from the store, if the lease is held and the map was not
-  /// loaded in this term or the outcome of the last commit is unknown. A
-  /// failure is logged; the next call retries.
+  /// loaded in this term and epoch, or the last commit failed or its outcome is
+  /// unknown. A failure is logged; a later call retries.
   auto LoadIfNeeded() -> void;
   /// Call while the lease is held.
   /// @param servers  that may own keys, weighted by their slots.
@@ -51,7 +51,12 @@
   }
 
  private:
+  /// @return whether the scheduler has the map of the current lease term.
+  [[nodiscard]] auto IsLoaded() const -> bool;
+  [[nodiscard]] auto NeedsLoad() const -> bool;
   auto Load() -> void;
+  /// Applies a map that was read from the store.
+  auto OnRead(OwnerMap map, StoreRow row) -> void;
   auto UpdateServers(std::vector<EligibleServer> servers) -> void;
   /// @return whether the map is loaded and, before the first commit of a
   ///   service, whether its number of servers is stable.
@@ -65,8 +70,11 @@
   StoreRow stored;
   LoadAggregator load_aggregator;
   int stripe_count;
-  int loaded_term = 0;  ///< The lease term in which the map was loaded.
+  int loaded_term = 0;          ///< The lease term in which the map was loaded.
+  StoreEpoch loaded_epoch = 0;  ///< The epoch in which it was last read.
   bool is_commit_unknown = false;
+  bool has_conflict = false;  ///< The last commit failed.
+  TimePoint next_load_at{};
   std::size_t server_count = 0;
   TimePoint server_count_changed_at{};
 };
