Keep a host's owner map if the store returns an older one

What callers saw: requests with keys of the lost span went to servers that had given them up, until the coordinator committed its map again.

Cause: a host that reads the owners from a restored store took the row for newer, as its version is of a later epoch, though its owners are older.

Change: tokens only rise, so OwnerDirectory ignores a map whose last token is below that of its own. It goes on asking for the coordinator's map.

Evidence: KeepsItsMapIfTheStoreReturnsAnOlderOne failed before (the owner was "a" again, router_test.cc:365) and passes now.

--- a/src/router/owner_directory.cc
+++ b/src/router/owner_directory.cc
@@ -31,7 +31,10 @@
   auto& entry = this->services[ServiceName(row.name.key)];
   if (row.version <= entry.version) return;
   try {
-    entry.map = OwnerMap::Decode(row.value);
+    auto map = OwnerMap::Decode(row.value);
+    // After a rollback of the store, the row may be older than the map here.
+    if (map.LastToken() < entry.map.LastToken()) return;
+    entry.map = std::move(map);
     entry.version = row.version;
     this->read_interval = kMinReadInterval;
   } catch (const InputError& error) {
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -354,6 +354,17 @@
   EXPECT_THROW(OwnerUpdate::Decode("no update"), InputError);
 }
 
+TEST_F(OwnerDirectoryTest, KeepsItsMapIfTheStoreReturnsAnOlderOne) {
+  const auto older = this->Row(5);
+  this->map.Assign(0, {ServerId("b"), milliseconds(1), "h", 2}, 6);
+  this->directory.OnRow(
+      {{"owners", "", "s"}, this->map.Encode(), {0, 6}, false});
+  auto rolled_back = older;
+  rolled_back.version = {1, 5};
+  this->directory.OnRow(rolled_back);
+  EXPECT_EQ(this->OwnerOfKey0(), "b");
+}
+
 TEST_F(OwnerDirectoryTest, RequestsAReadWhenTheCoordinatorHasANewerVersion) {
   this->directory.OnRow(this->Row(5));
   this->directory.StartReadIfDue();
