Keep servers that are missing from a restored table for the grace period

A server that joined in the span that a restore lost is missing from the table until it publishes its entry again. The grace period for such servers started only when the host itself had found the store unreachable. A host that receives the table from the coordinator need not notice a short outage, and removed these servers at once.

BackendsListener passes it to the BackendDirectory, which starts the grace period; a server that is still missing at its end is removed. A second restore within the period extends it for the servers that already wait.

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -8,8 +8,8 @@
 namespace currantbeam {
 namespace {
 
-/// If an entry expired while the store was unreachable, a running server
-/// publishes it again within this time.
+/// If an entry expired while the store was unreachable, or was lost when it was
+/// restored, a running server publishes it again within this time.
 constexpr auto kEntryGracePeriod = std::chrono::milliseconds(2200);
 /// How long an outdated entry is held back. Longer than the store keeps the
 /// entry of a server that no longer writes.
@@ -87,6 +87,13 @@
   this->grace_period_end = this->clock.Now() + kEntryGracePeriod;
 }
 
+auto BackendDirectory::OnRollback() -> void {
+  this->grace_period_end = this->clock.Now() + kEntryGracePeriod;
+  for (auto& [id, kept_until] : this->expired) {
+    kept_until = this->grace_period_end;
+  }
+}
+
 auto BackendDirectory::SetGateways(int gateways) -> void {
   if (gateways == this->gateways) return;
   this->gateways = gateways;
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -22,11 +22,15 @@
   /// @return whether the entry is in use; false if it is held back.
   auto Apply(const BackendEntry& entry) -> bool;
   /// The server's entry was removed from the store. Within the grace period
-  /// after the store has recovered, the server is kept until the period ends.
+  /// after the store has recovered or was restored, the server is kept until
+  /// the period ends.
   auto Remove(const ServerId& id) -> void;
   /// The store is reachable again. Starts the grace period, as entries may have
   /// expired while it was unreachable and their servers publish them again.
   auto OnStoreRecovered() -> void;
+  /// The store was restored from an older copy. Starts the grace period, as the
+  /// entries written since are missing and their servers publish them again.
+  auto OnRollback() -> void;
   /// Sets how many gateways send requests to the servers.
   auto SetGateways(int gateways) -> void;
   /// Removes the servers whose entries were not published again within the
--- a/src/router/store_listeners.h
+++ b/src/router/store_listeners.h
@@ -35,6 +35,7 @@
   auto OnRemoved(const std::string& key) -> void override;
   auto OnSynced() -> void override { this->is_current = true; }
   auto OnReachable(bool reachable) -> void override;
+  auto OnRollback() -> void override { this->directory.OnRollback(); }
   /// @return whether the whole table has been read at least once.
   [[nodiscard]] auto IsCurrent() const -> bool { return this->is_current; }
 
--- a/src/store/table_follower.h
+++ b/src/store/table_follower.h
@@ -20,6 +20,10 @@
   /// The store became unreachable or reachable. Reachability is reported before
   /// the rows that the store returns.
   virtual auto OnReachable(bool reachable) -> void = 0;
+  /// The store was restored from an older copy and lost its latest changes.
+  /// Reported before the rows of the snapshot that follows; OnSynced() marks
+  /// the end of that snapshot.
+  virtual auto OnRollback() -> void {}
 };
 
 /// Which table a TableFollower follows, and its timing.
