Hold back the entry of a removed server that a restored table brings back

A server that left in the span that a restore lost has its entry again until the store notices that it no longer writes. Every host took it for a new server and sent requests to it. The key coordinator could also take it for the process at an address that another server uses now.

An entry of the same process that comes with a restored table is held back, whatever its sequence: the store may update the sequence of an entry without reporting a change, so it may be higher than the last one seen here. An entry that arrives as a change is written by the server itself and is used at once, unless its sequence is lower than the last one. An entry that stays in the store for 10 s is used, as no server may be lost for good.

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -32,10 +32,20 @@
 auto BackendDirectory::CheckAge(const BackendEntry& entry) const
     -> std::optional<OutdatedReason> {
   const auto target = this->targets.find(entry.id);
-  if (target == this->targets.end()) return std::nullopt;
+  if (target == this->targets.end()) return this->CheckRemoved(entry);
   return FindOutdatedReason(entry, target->second->entry);
 }
 
+auto BackendDirectory::CheckRemoved(const BackendEntry& entry) const
+    -> std::optional<OutdatedReason> {
+  const auto* last = this->removed.Find(entry.id);
+  if (last == nullptr) return std::nullopt;
+  if (this->is_restoring && entry.started == last->started) {
+    return OutdatedReason::kRemoved;
+  }
+  return FindOutdatedReason(entry, *last);
+}
+
 auto BackendDirectory::Hold(const BackendEntry& entry, OutdatedReason reason)
     -> void {
   const auto held_until = this->clock.Now() + kOutdatedEntryHold;
@@ -52,6 +62,7 @@
 auto BackendDirectory::Use(const BackendEntry& entry) -> void {
   this->expired.erase(entry.id);
   this->held.erase(entry.id);
+  this->removed.Erase(entry.id);
   auto& target = this->targets[entry.id];
   const bool is_new_instance = target == nullptr ||
                                target->entry.started != entry.started ||
@@ -79,15 +90,23 @@
     return;
   }
   this->expired.erase(id);
-  this->targets.erase(id);
+  this->RemoveTarget(id);
   this->Rebuild();
 }
 
+auto BackendDirectory::RemoveTarget(const ServerId& id) -> void {
+  const auto target = this->targets.find(id);
+  if (target == this->targets.end()) return;
+  this->removed.Add(target->second->entry);
+  this->targets.erase(target);
+}
+
 auto BackendDirectory::OnStoreRecovered() -> void {
   this->grace_period_end = this->clock.Now() + kEntryGracePeriod;
 }
 
 auto BackendDirectory::OnRollback() -> void {
+  this->is_restoring = true;
   this->grace_period_end = this->clock.Now() + kEntryGracePeriod;
   for (auto& [id, kept_until] : this->expired) {
     kept_until = this->grace_period_end;
@@ -115,7 +134,7 @@
       ++it;
       continue;
     }
-    this->targets.erase(it->first);
+    this->RemoveTarget(it->first);
     it = this->expired.erase(it);
     has_changed = true;
   }
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "backends/backend_target.h"
+#include "backends/removed_servers.h"
 
 namespace currantbeam {
 
@@ -12,13 +13,21 @@
 /// the store.
 class BackendDirectory {
  public:
-  explicit BackendDirectory(const Clock& clock) : clock(clock) {}
+  explicit BackendDirectory(const Clock& clock)
+      : clock(clock), removed(clock) {}
 
   /// Adds or updates a server. If it has restarted, or its address or service
-  /// has changed, its observed load is reset. An entry that is older than the
-  /// one in use, as after a restore of the store, is held back: a running
-  /// server writes a newer one within seconds, and the entry of another one is
-  /// removed. If neither happens, the held entry is used after some seconds.
+  /// has changed, its observed load is reset.
+  ///
+  /// An entry that is older than the one in use, as after a restore of the
+  /// store, is held back: a running server writes a newer one within seconds,
+  /// and the entry of another one is removed. If neither happens, the held
+  /// entry is used after some seconds.
+  ///
+  /// An entry of a removed server that returns with a restored table is held
+  /// back whatever its sequence, as the store may update the sequence alone
+  /// without reporting a change. At other times it is used at once, unless its
+  /// sequence is lower than the last one.
   /// @return whether the entry is in use; false if it is held back.
   auto Apply(const BackendEntry& entry) -> bool;
   /// The server's entry was removed from the store. Within the grace period
@@ -30,7 +39,10 @@
   auto OnStoreRecovered() -> void;
   /// The store was restored from an older copy. Starts the grace period, as the
   /// entries written since are missing and their servers publish them again.
+  /// The entries applied until OnSynced() are those of the restored table.
   auto OnRollback() -> void;
+  /// All entries of the table have been applied.
+  auto OnSynced() -> void { this->is_restoring = false; }
   /// Sets how many gateways send requests to the servers.
   auto SetGateways(int gateways) -> void;
   /// Removes the servers whose entries were not published again within the
@@ -49,7 +61,7 @@
   }
 
  private:
-  /// An entry that is older than the one in use.
+  /// An entry that is older than what is known of its server.
   struct HeldEntry {
     BackendEntry entry;
     TimePoint held_until{};
@@ -61,6 +73,10 @@
       -> std::optional<OutdatedReason>;
   auto Hold(const BackendEntry& entry, OutdatedReason reason) -> void;
   auto Use(const BackendEntry& entry) -> void;
+  /// @return why the entry of a removed server is older than its last one.
+  [[nodiscard]] auto CheckRemoved(const BackendEntry& entry) const
+      -> std::optional<OutdatedReason>;
+  auto RemoveTarget(const ServerId& id) -> void;
   auto RemoveExpired(TimePoint now) -> void;
   auto UseHeldEntries(TimePoint now) -> void;
   auto Rebuild() -> void;
@@ -73,6 +89,8 @@
   /// Servers without an entry, with the end of their grace period.
   std::map<ServerId, TimePoint> expired;
   std::map<ServerId, HeldEntry> held;
+  RemovedServers removed;
+  bool is_restoring = false;  ///< A restored table is being applied.
   TimePoint grace_period_end{};
   int gateways = 1;
 };
--- a/src/backends/backend_entry.cc
+++ b/src/backends/backend_entry.cc
@@ -10,6 +10,8 @@
       return "older-sequence";
     case OutdatedReason::kReadyAfterDraining:
       return "ready-after-draining";
+    case OutdatedReason::kRemoved:
+      return "removed";
   }
   return "unknown";
 }
--- a/src/backends/backend_entry.h
+++ b/src/backends/backend_entry.h
@@ -34,6 +34,7 @@
   kOlderProcess,        ///< It was written before the server restarted.
   kOlderSequence,       ///< The same process wrote the other one later.
   kReadyAfterDraining,  ///< A server process that drains does not get ready.
+  kRemoved,  ///< The server process was removed before a restore of the store.
 };
 
 auto ToString(OutdatedReason reason) -> std::string_view;
--- a/src/backends/backends.h
+++ b/src/backends/backends.h
@@ -7,3 +7,4 @@
 #include "backends/backend_directory.h"
 #include "backends/backend_entry.h"
 #include "backends/backend_target.h"
+#include "backends/removed_servers.h"
--- a/src/router/store_listeners.cc
+++ b/src/router/store_listeners.cc
@@ -54,6 +54,11 @@
   Log(events::kBackendGone, {{"server", key}});
 }
 
+auto BackendsListener::OnSynced() -> void {
+  this->directory.OnSynced();
+  this->is_current = true;
+}
+
 auto BackendsListener::OnReachable(bool reachable) -> void {
   if (reachable) this->directory.OnStoreRecovered();
   LogReachable(this->schema.BackendsTable(), reachable);
--- a/src/router/store_listeners.h
+++ b/src/router/store_listeners.h
@@ -33,7 +33,7 @@
 
   auto OnRow(const StoreRow& row) -> void override;
   auto OnRemoved(const std::string& key) -> void override;
-  auto OnSynced() -> void override { this->is_current = true; }
+  auto OnSynced() -> void override;
   auto OnReachable(bool reachable) -> void override;
   auto OnRollback() -> void override { this->directory.OnRollback(); }
   /// @return whether the whole table has been read at least once.
--- a/tests/router/store_listeners_test.cc
+++ b/tests/router/store_listeners_test.cc
@@ -38,6 +38,15 @@
   auto Row(const std::string& key, const std::string& sequence) -> StoreRow {
     return {{"backends", "", key}, sequence, 1, false};
   }
+  auto Leave(const std::string& key, const std::string& sequence) -> void {
+    this->listener.OnRow(this->Row(key, sequence));
+    this->listener.OnRemoved(key);
+  }
+  auto Restore(const std::string& key, const std::string& sequence) -> void {
+    this->listener.OnRollback();
+    this->listener.OnRow(this->Row(key, sequence));
+    this->listener.OnSynced();
+  }
   auto IsKnown(const std::string& id) -> bool {
     return this->directory.Find(ServerId(id)) != nullptr;
   }
@@ -68,6 +77,61 @@
   EXPECT_FALSE(this->IsKnown("crashed"));
 }
 
+TEST_F(RestoredTableTest, DoesNotBringBackAServerThatHasLeft) {
+  this->Leave("a", "7");
+  this->Restore("a", "7");
+  EXPECT_FALSE(this->IsKnown("a"));
+  this->Restore("a", "4");
+  EXPECT_FALSE(this->IsKnown("a"));
+  // Heartbeats that change nothing else are not reported as changes.
+  this->Restore("a", "9");
+  EXPECT_FALSE(this->IsKnown("a"));
+  this->listener.OnRemoved("a");
+  this->Advance(seconds(20));
+  EXPECT_FALSE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, UsesAServerAtOnceThatWritesAfterTheRestore) {
+  this->Leave("a", "7");
+  this->Restore("a", "4");
+  this->listener.OnRow(this->Row("a", "8"));
+  EXPECT_TRUE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, UsesAnUnchangedServerAtOnceWithoutARestore) {
+  this->Leave("a", "7");
+  this->listener.OnRow(this->Row("a", "7"));
+  EXPECT_TRUE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, UsesARestoredServerThatStaysInTheStore) {
+  this->Leave("a", "7");
+  this->Restore("a", "7");
+  this->Advance(seconds(11));
+  EXPECT_TRUE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, RemembersRemovedServersForALimitedTime) {
+  this->Leave("a", "7");
+  this->Advance(seconds(45));
+  this->Restore("a", "7");
+  EXPECT_FALSE(this->IsKnown("a"));
+  this->listener.OnRemoved("a");
+  this->Advance(seconds(45));
+  this->Restore("a", "7");
+  EXPECT_TRUE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, RemembersServersRemovedAfterTheGracePeriod) {
+  this->listener.OnRow(this->Row("a", "7"));
+  this->listener.OnRollback();
+  this->listener.OnRemoved("a");
+  this->listener.OnSynced();
+  this->Advance(seconds(3));
+  this->Restore("a", "7");
+  EXPECT_FALSE(this->IsKnown("a"));
+}
+
 TEST_F(RestoredTableTest, KeepsAMissingServerLongerAfterAnotherRestore) {
   this->listener.OnRow(this->Row("joined", "1"));
   this->listener.OnRollback();
