Test that a configuration that comes back older is not put into force

No fault was found here: RoutesListener puts a configuration into force only if its version is higher than that of the one in force. The tests cover an older one after a restore, directly and as relayed by the coordinator, a missing row, an invalid one, and a route that is added afterwards.

--- a/tests/router/store_listeners_test.cc
+++ b/tests/router/store_listeners_test.cc
@@ -2,7 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <sstream>
+
 #include "router/make_entry.h"
+#include "router/route_table.h"
 
 namespace currantbeam {
 namespace {
@@ -10,7 +14,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Rows of the backends table hold the sequence of the entry.
+/// Rows of the backends table hold the sequence of the entry. Rows of the
+/// routes table hold the version and the prefixes of host `h`, separated by
+/// spaces, or "invalid".
 class FakeSchema : public StoreSchema {
  public:
   [[nodiscard]] auto RoutesTable() const -> std::string override {
@@ -19,9 +25,18 @@
   [[nodiscard]] auto BackendsTable() const -> std::string override {
     return "backends";
   }
-  [[nodiscard]] auto DecodeRoutes(const StoreRow& /*row*/) const
+  [[nodiscard]] auto DecodeRoutes(const StoreRow& row) const
       -> std::optional<RouteConfig> override {
-    return std::nullopt;
+    if (row.value == "invalid") throw InputError("invalid");
+    std::istringstream text(row.value);
+    RouteConfig config;
+    text >> config.version;
+    for (std::string prefix; text >> prefix;) {
+      Route route;
+      route.prefix = prefix;
+      config.hosts["h"].push_back(route);
+    }
+    return config;
   }
   [[nodiscard]] auto DecodeBackend(const StoreRow& row) const
       -> BackendEntry override {
@@ -146,5 +161,98 @@
   EXPECT_FALSE(this->IsKnown("joined"));
 }
 
+/// Receives updates from the coordinator without waiting for them.
+class NonBlockingStore : public RelayedStore {
+ public:
+  using RelayedStore::RelayedStore;
+
+ protected:
+  auto AwaitUpdate(const std::string& /*table*/, Duration /*max_wait*/)
+      -> void override {}
+};
+
+/// A host that follows the routes as relayed by the coordinator.
+class RestoredRoutesTest : public testing::Test {
+ protected:
+  static auto Options() -> FollowOptions {
+    FollowOptions options;
+    options.table = "routes";
+    return options;
+  }
+  auto Row(StoreVersion version, const std::string& value) -> StoreRow {
+    return {{"routes", "", "config"}, value, version, false};
+  }
+  /// The coordinator sends the row in a snapshot or as a change.
+  auto Relay(StoreVersion version, const std::string& value, bool is_full)
+      -> void {
+    TableUpdate update;
+    update.table = "routes";
+    update.version = version;
+    update.is_full = is_full;
+    update.rows.push_back(this->Row(version, value));
+    this->store.OnUpdates({TableUpdate::Decode(update.Encode())},
+                          this->clock.Now());
+    this->follower.Step();
+  }
+  auto Version() -> std::uint64_t {
+    return this->routes == nullptr ? 0 : this->routes->Config().version;
+  }
+  auto IsServed(const std::string& target) -> bool {
+    return this->routes->Find("h", target) != nullptr;
+  }
+
+  ManualClock clock;
+  FakeSchema schema;
+  std::shared_ptr<const RouteTable> routes;
+  RoutesListener listener{
+      this->schema, [this](RouteConfig config) {
+        this->routes = std::make_shared<const RouteTable>(std::move(config));
+      }};
+  MemoryStore memory{this->clock};
+  NonBlockingStore store{this->memory, this->clock, {"routes"}, Duration(0)};
+  TableFollower follower{this->store, Options(), this->listener};
+};
+
+TEST_F(RestoredRoutesTest, KeepsTheConfigurationWhenAnOlderOneComesBack) {
+  this->listener.OnRow(this->Row(10, "18 /a/ /b/"));
+  this->listener.OnRollback();
+  this->listener.OnRow(this->Row(6, "16 /a/"));
+  this->listener.OnSynced();
+  EXPECT_EQ(this->Version(), 18U);
+  EXPECT_TRUE(this->IsServed("/b/x"));
+  this->listener.OnRow(this->Row(7, "18 /a/ /b/"));
+  this->listener.OnRow(this->Row(8, "21 /a/ /b/ /c/"));
+  EXPECT_EQ(this->Version(), 21U);
+  EXPECT_TRUE(this->IsServed("/c/x"));
+}
+
+TEST_F(RestoredRoutesTest, KeepsTheConfigurationWhenAnOlderOneIsRelayed) {
+  this->Relay(10, "18 /a/ /b/", true);
+  EXPECT_EQ(this->Version(), 18U);
+  this->Relay(11, "16 /a/", false);
+  EXPECT_EQ(this->Version(), 18U);
+  EXPECT_TRUE(this->IsServed("/b/x"));
+  this->Relay(12, "21 /a/ /b/ /c/", false);
+  EXPECT_EQ(this->Version(), 21U);
+  EXPECT_TRUE(this->IsServed("/c/x"));
+}
+
+TEST_F(RestoredRoutesTest, KeepsTheConfigurationWhenTheRowIsMissing) {
+  this->listener.OnRow(this->Row(10, "18 /a/"));
+  this->listener.OnRollback();
+  this->listener.OnRemoved("config");
+  this->listener.OnSynced();
+  EXPECT_TRUE(this->IsServed("/a/x"));
+}
+
+TEST_F(RestoredRoutesTest, KeepsTheConfigurationWhenAnInvalidOneFollows) {
+  this->Relay(10, "18 /a/", true);
+  this->Relay(11, "invalid", false);
+  EXPECT_EQ(this->Version(), 18U);
+  EXPECT_TRUE(this->IsServed("/a/x"));
+  this->Relay(12, "21 /a/ /b/", false);
+  EXPECT_TRUE(this->IsServed("/b/x"));
+}
+
 }  // namespace
 }  // namespace currantbeam
