Hold back a server that left in a grace period when a restore brings it back

A server whose entry is removed within a grace period stays known until the period ends. If the store was restored in that time, its entry came back, was no older than the one known and made the server a current one again. Such a server now counts as removed, too, so its entry from the restored table is held back and the server is removed at the end of the grace period.

Before, in router_test: store_listeners_test.cc:155: Value of: this->IsKnown("a") Actual: true

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -32,15 +32,12 @@
 auto BackendDirectory::CheckAge(const BackendEntry& entry) const
     -> std::optional<OutdatedReason> {
   const auto target = this->targets.find(entry.id);
-  if (target == this->targets.end()) return this->CheckRemoved(entry);
-  return FindOutdatedReason(entry, target->second->entry);
-}
-
-auto BackendDirectory::CheckRemoved(const BackendEntry& entry) const
-    -> std::optional<OutdatedReason> {
-  const auto* last = this->removed.Find(entry.id);
+  const bool is_known = target != this->targets.end();
+  const auto* last =
+      is_known ? &target->second->entry : this->removed.Find(entry.id);
   if (last == nullptr) return std::nullopt;
-  if (this->is_restoring && entry.started == last->started) {
+  const bool is_removed = !is_known || this->expired.count(entry.id) != 0;
+  if (this->is_restoring && is_removed && entry.started == last->started) {
     return OutdatedReason::kRemoved;
   }
   return FindOutdatedReason(entry, *last);
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -73,9 +73,6 @@
       -> std::optional<OutdatedReason>;
   auto Hold(const BackendEntry& entry, OutdatedReason reason) -> void;
   auto Use(const BackendEntry& entry) -> void;
-  /// @return why the entry of a removed server is older than its last one.
-  [[nodiscard]] auto CheckRemoved(const BackendEntry& entry) const
-      -> std::optional<OutdatedReason>;
   auto RemoveTarget(const ServerId& id) -> void;
   auto RemoveExpired(TimePoint now) -> void;
   auto UseHeldEntries(TimePoint now) -> void;
--- a/tests/router/store_listeners_test.cc
+++ b/tests/router/store_listeners_test.cc
@@ -147,6 +147,14 @@
   EXPECT_FALSE(this->IsKnown("a"));
 }
 
+TEST_F(RestoredTableTest, DoesNotBringBackAServerThatHasLeftInAGracePeriod) {
+  this->listener.OnReachable(true);
+  this->Leave("a", "7");
+  this->Restore("a", "7");
+  this->Advance(seconds(3));
+  EXPECT_FALSE(this->IsKnown("a"));
+}
+
 TEST_F(RestoredTableTest, KeepsAMissingServerLongerAfterAnotherRestore) {
   this->listener.OnRow(this->Row("joined", "1"));
   this->listener.OnRollback();
