--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "backends/backend_target.h"
+#include "backends/removed_servers.h"
 
 namespace currantbeam {
 
@@ -12,23 +13,42 @@
 /// the store.
 class BackendDirectory {
  public:
-  explicit BackendDirectory(const Clock& clock) : clock(clock) {}
+  explicit BackendDirectory(const Clock& clock)
+      : clock(clock), removed(clock) {}
 
   /// Adds or updates a server. If it has restarted, or its address or service
   /// has changed, its observed load is reset.
-  auto Apply(const BackendEntry& entry) -> void;
+  ///
+  /// An entry that is older than the one in use, as after a restore of the
+  /// store, is held back: a running server writes a newer one within seconds,
+  /// and the entry of another one is removed. If neither happens, the held
+  /// entry is used after some seconds.
+  ///
+  /// An entry of a removed server that returns with a restored table is held
+  /// back whatever its sequence, as the store may update the sequence alone
+  /// without reporting a change. At other times it is used at once, unless its
+  /// sequence is lower than the last one.
+  /// @return whether the entry is in use; false if it is held back.
+  auto Apply(const BackendEntry& entry) -> bool;
   /// The server's entry was removed from the store. Within the grace period
-  /// after the store has recovered, the server is kept until the period ends.
+  /// after the store has recovered or was restored, the server is kept until
+  /// the period ends.
   auto Remove(const ServerId& id) -> void;
   /// The store is reachable again. Starts the grace period, as entries may have
   /// expired while it was unreachable and their servers publish them again.
   auto OnStoreRecovered() -> void;
+  /// The store was restored from an older copy. Starts the grace period, as the
+  /// entries written since are missing and their servers publish them again.
+  /// The entries applied until OnSynced() are those of the restored table.
+  auto OnRollback() -> void;
+  /// All entries of the table have been applied.
+  auto OnSynced() -> void { this->is_restoring = false; }
   /// Sets how many gateways send requests to the servers.
   auto SetGateways(int gateways) -> void;
   /// Removes the servers whose entries were not published again within the
-  /// grace period. To be called periodically; servers are removed with that
-  /// delay.
-  auto RemoveExpired() -> void;
+  /// grace period, and uses entries that were held back for long enough. To be
+  /// called periodically; both happen with that delay.
+  auto ApplyTimeouts() -> void;
 
   /// @return the servers of the service that are not draining, ordered by id.
   [[nodiscard]] auto Ready(const ServiceName& service) const
@@ -41,6 +61,21 @@
   }
 
  private:
+  /// An entry that is older than what is known of its server.
+  struct HeldEntry {
+    BackendEntry entry;
+    TimePoint held_until{};
+  };
+
+  /// @return why the entry is older than what is known of the server; empty if
+  ///   it isn't.
+  [[nodiscard]] auto CheckAge(const BackendEntry& entry) const
+      -> std::optional<OutdatedReason>;
+  auto Hold(const BackendEntry& entry, OutdatedReason reason) -> void;
+  auto Use(const BackendEntry& entry) -> void;
+  auto RemoveTarget(const ServerId& id) -> void;
+  auto RemoveExpired(TimePoint now) -> void;
+  auto UseHeldEntries(TimePoint now) -> void;
   auto Rebuild() -> void;
 
   const Clock& clock;
@@ -50,6 +85,9 @@
       typical_latencies;
   /// Servers without an entry, with the end of their grace period.
   std::map<ServerId, TimePoint> expired;
+  std::map<ServerId, HeldEntry> held;
+  RemovedServers removed;
+  bool is_restoring = false;  ///< A restored table is being applied.
   TimePoint grace_period_end{};
   int gateways = 1;
 };
--- a/src/router/store_listeners.cc
+++ b/src/router/store_listeners.cc
@@ -33,8 +33,8 @@
 auto BackendsListener::OnRow(const StoreRow& row) -> void {
   try {
     const auto entry = this->schema.DecodeBackend(row);
-    this->directory.Apply(entry);
     this->unreadable.erase(row.name.key);
+    if (!this->directory.Apply(entry)) return;
     Log(events::kBackendKnown,
         {{"server", entry.id.Value()},
          {"service", entry.service.Value()},
@@ -56,6 +56,11 @@
   Log(events::kBackendGone, {{"server", key}});
 }
 
+auto BackendsListener::OnSynced() -> void {
+  this->directory.OnSynced();
+  this->is_current = true;
+}
+
 auto BackendsListener::OnReachable(bool reachable) -> void {
   if (reachable) this->directory.OnStoreRecovered();
   LogReachable(this->schema.BackendsTable(), reachable);
--- /dev/null
+++ b/tests/router/store_listeners_test.cc
@@ -0,0 +1,266 @@
+#include "router/store_listeners.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <sstream>
+
+#include "router/make_entry.h"
+#include "router/route_table.h"
+
+namespace currantbeam {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Rows of the backends table hold the sequence of the entry. Rows of the
+/// routes table hold the version and the prefixes of host `h`, separated by
+/// spaces, or "invalid".
+class FakeSchema : public StoreSchema {
+ public:
+  [[nodiscard]] auto RoutesTable() const -> std::string override {
+    return "routes";
+  }
+  [[nodiscard]] auto BackendsTable() const -> std::string override {
+    return "backends";
+  }
+  [[nodiscard]] auto DecodeRoutes(const StoreRow& row) const
+      -> std::optional<RouteConfig> override {
+    if (row.value == "invalid") throw InputError("invalid");
+    std::istringstream text(row.value);
+    RouteConfig config;
+    text >> config.version;
+    for (std::string prefix; text >> prefix;) {
+      Route route;
+      route.prefix = prefix;
+      config.hosts["h"].push_back(route);
+    }
+    return config;
+  }
+  [[nodiscard]] auto DecodeBackend(const StoreRow& row) const
+      -> BackendEntry override {
+    auto entry = MakeEntry(row.name.key, 1);
+    entry.sequence = std::stoull(row.value);
+    return entry;
+  }
+};
+
+/// A host that receives the table from the coordinator, so that it never finds
+/// the store unreachable.
+class RestoredTableTest : public testing::Test {
+ protected:
+  auto Row(const std::string& key, const std::string& sequence) -> StoreRow {
+    return {{"backends", "", key}, sequence, 1, false};
+  }
+  auto Leave(const std::string& key, const std::string& sequence) -> void {
+    this->listener.OnRow(this->Row(key, sequence));
+    this->listener.OnRemoved(key);
+  }
+  auto Restore(const std::string& key, const std::string& sequence) -> void {
+    this->listener.OnRollback();
+    this->listener.OnRow(this->Row(key, sequence));
+    this->listener.OnSynced();
+  }
+  auto IsKnown(const std::string& id) -> bool {
+    return this->directory.Find(ServerId(id)) != nullptr;
+  }
+  auto Advance(Duration duration) -> void {
+    this->clock.Advance(duration);
+    this->directory.ApplyTimeouts();
+  }
+
+  ManualClock clock;
+  FakeSchema schema;
+  BackendDirectory directory{this->clock};
+  BackendsListener listener{this->schema, this->directory};
+};
+
+TEST_F(RestoredTableTest, KeepsAServerThatIsMissingUntilItWritesAgain) {
+  this->listener.OnRow(this->Row("joined", "1"));
+  this->listener.OnRow(this->Row("crashed", "1"));
+  this->listener.OnRollback();
+  this->listener.OnRemoved("joined");
+  this->listener.OnRemoved("crashed");
+  this->listener.OnSynced();
+  this->Advance(milliseconds(1900));
+  EXPECT_TRUE(this->IsKnown("joined"));
+  EXPECT_TRUE(this->IsKnown("crashed"));
+  this->listener.OnRow(this->Row("joined", "2"));
+  this->Advance(seconds(1));
+  EXPECT_TRUE(this->IsKnown("joined"));
+  EXPECT_FALSE(this->IsKnown("crashed"));
+}
+
+TEST_F(RestoredTableTest, DoesNotBringBackAServerThatHasLeft) {
+  this->Leave("a", "7");
+  this->Restore("a", "7");
+  EXPECT_FALSE(this->IsKnown("a"));
+  this->Restore("a", "4");
+  EXPECT_FALSE(this->IsKnown("a"));
+  // Heartbeats that change nothing else are not reported as changes.
+  this->Restore("a", "9");
+  EXPECT_FALSE(this->IsKnown("a"));
+  this->listener.OnRemoved("a");
+  this->Advance(seconds(20));
+  EXPECT_FALSE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, UsesAServerAtOnceThatWritesAfterTheRestore) {
+  this->Leave("a", "7");
+  this->Restore("a", "4");
+  this->listener.OnRow(this->Row("a", "8"));
+  EXPECT_TRUE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, UsesAnUnchangedServerAtOnceWithoutARestore) {
+  this->Leave("a", "7");
+  this->listener.OnRow(this->Row("a", "7"));
+  EXPECT_TRUE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, UsesARestoredServerThatStaysInTheStore) {
+  this->Leave("a", "7");
+  this->Restore("a", "7");
+  this->Advance(seconds(11));
+  EXPECT_TRUE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, RemembersRemovedServersForALimitedTime) {
+  this->Leave("a", "7");
+  this->Advance(seconds(45));
+  this->Restore("a", "7");
+  EXPECT_FALSE(this->IsKnown("a"));
+  this->listener.OnRemoved("a");
+  this->Advance(seconds(45));
+  this->Restore("a", "7");
+  EXPECT_TRUE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, RemembersServersRemovedAfterTheGracePeriod) {
+  this->listener.OnRow(this->Row("a", "7"));
+  this->listener.OnRollback();
+  this->listener.OnRemoved("a");
+  this->listener.OnSynced();
+  this->Advance(seconds(3));
+  this->Restore("a", "7");
+  EXPECT_FALSE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, DoesNotBringBackAServerThatHasLeftInAGracePeriod) {
+  this->listener.OnReachable(true);
+  this->Leave("a", "7");
+  this->Restore("a", "7");
+  this->Advance(seconds(3));
+  EXPECT_FALSE(this->IsKnown("a"));
+}
+
+TEST_F(RestoredTableTest, KeepsAMissingServerLongerAfterAnotherRestore) {
+  this->listener.OnRow(this->Row("joined", "1"));
+  this->listener.OnRollback();
+  this->listener.OnRemoved("joined");
+  this->listener.OnSynced();
+  this->Advance(milliseconds(2000));
+  this->listener.OnRollback();
+  this->listener.OnSynced();
+  this->Advance(milliseconds(2000));
+  EXPECT_TRUE(this->IsKnown("joined"));
+  this->Advance(milliseconds(300));
+  EXPECT_FALSE(this->IsKnown("joined"));
+}
+
+/// Receives updates from the coordinator without waiting for them.
+class NonBlockingStore : public RelayedStore {
+ public:
+  using RelayedStore::RelayedStore;
+
+ protected:
+  auto AwaitUpdate(const std::string& /*table*/, Duration /*max_wait*/)
+      -> void override {}
+};
+
+/// A host that follows the routes as relayed by the coordinator.
+class RestoredRoutesTest : public testing::Test {
+ protected:
+  static auto Options() -> FollowOptions {
+    FollowOptions options;
+    options.table = "routes";
+    return options;
+  }
+  auto Row(StoreVersion version, const std::string& value) -> StoreRow {
+    return {{"routes", "", "config"}, value, version, false};
+  }
+  /// The coordinator sends the row in a snapshot or as a change.
+  auto Relay(StoreVersion version, const std::string& value, bool is_full)
+      -> void {
+    TableUpdate update;
+    update.table = "routes";
+    update.version = version;
+    update.is_full = is_full;
+    update.rows.push_back(this->Row(version, value));
+    this->store.OnUpdates({TableUpdate::Decode(update.Encode())},
+                          this->clock.Now());
+    this->follower.Step();
+  }
+  auto Version() -> std::uint64_t {
+    return this->routes == nullptr ? 0 : this->routes->Config().version;
+  }
+  auto IsServed(const std::string& target) -> bool {
+    return this->routes->Find("h", target) != nullptr;
+  }
+
+  ManualClock clock;
+  FakeSchema schema;
+  std::shared_ptr<const RouteTable> routes;
+  RoutesListener listener{
+      this->schema, [this](RouteConfig config) {
+        this->routes = std::make_shared<const RouteTable>(std::move(config));
+      }};
+  MemoryStore memory{this->clock};
+  NonBlockingStore store{this->memory, this->clock, {"routes"}, Duration(0)};
+  TableFollower follower{this->store, Options(), this->listener};
+};
+
+TEST_F(RestoredRoutesTest, KeepsTheConfigurationWhenAnOlderOneComesBack) {
+  this->listener.OnRow(this->Row(10, "18 /a/ /b/"));
+  this->listener.OnRollback();
+  this->listener.OnRow(this->Row(6, "16 /a/"));
+  this->listener.OnSynced();
+  EXPECT_EQ(this->Version(), 18U);
+  EXPECT_TRUE(this->IsServed("/b/x"));
+  this->listener.OnRow(this->Row(7, "18 /a/ /b/"));
+  this->listener.OnRow(this->Row(8, "21 /a/ /b/ /c/"));
+  EXPECT_EQ(this->Version(), 21U);
+  EXPECT_TRUE(this->IsServed("/c/x"));
+}
+
+TEST_F(RestoredRoutesTest, KeepsTheConfigurationWhenAnOlderOneIsRelayed) {
+  this->Relay(10, "18 /a/ /b/", true);
+  EXPECT_EQ(this->Version(), 18U);
+  this->Relay(11, "16 /a/", false);
+  EXPECT_EQ(this->Version(), 18U);
+  EXPECT_TRUE(this->IsServed("/b/x"));
+  this->Relay(12, "21 /a/ /b/ /c/", false);
+  EXPECT_EQ(this->Version(), 21U);
+  EXPECT_TRUE(this->IsServed("/c/x"));
+}
+
+TEST_F(RestoredRoutesTest, KeepsTheConfigurationWhenTheRowIsMissing) {
+  this->listener.OnRow(this->Row(10, "18 /a/"));
+  this->listener.OnRollback();
+  this->listener.OnRemoved("config");
+  this->listener.OnSynced();
+  EXPECT_TRUE(this->IsServed("/a/x"));
+}
+
+TEST_F(RestoredRoutesTest, KeepsTheConfigurationWhenAnInvalidOneFollows) {
+  this->Relay(10, "18 /a/", true);
+  this->Relay(11, "invalid", false);
+  EXPECT_EQ(this->Version(), 18U);
+  EXPECT_TRUE(this->IsServed("/a/x"));
+  this->Relay(12, "21 /a/ /b/", false);
+  EXPECT_TRUE(this->IsServed("/b/x"));
+}
+
+}  // namespace
+}  // namespace currantbeam
