Tell the listeners of a table that the store was rolled back

What callers saw: after a restore, servers that had joined in the lost span were dropped at once, and servers that had left were offered requests again: BackendDirectory keeps the one and holds back the other only if OnRollback() says that the table was restored, which nothing called.

Evidence: ReportsARollbackBeforeTheRowsOfTheRestoredTable; before, nothing called OnRollback().

--- a/src/core/events.h
+++ b/src/core/events.h
@@ -61,6 +61,7 @@
 constexpr LogEvent kTableLost{905, LogLevel::kWarn, "table-lost"};
 constexpr LogEvent kTableBack{906, LogLevel::kInfo, "table-back"};
 constexpr LogEvent kSettingsReloaded{907, LogLevel::kInfo, "settings-reloaded"};
+constexpr LogEvent kStoreRolledBack{908, LogLevel::kWarn, "store-rolled-back"};
 constexpr LogEvent kBackendOutdated{910, LogLevel::kInfo, "backend-outdated"};
 
 }  // namespace currantbeam::events
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "core/events.h"
+
 namespace currantbeam {
 
 auto TableFollower::Step() -> std::chrono::milliseconds {
@@ -32,6 +34,7 @@
   const auto batch =
       this->store.Read(this->options.table, this->options.partition);
   this->SetReachable(true);
+  this->ReportRollback(batch.version);
   std::set<std::string> present;
   for (const auto& row : batch.rows) {
     present.insert(row.name.key);
@@ -49,6 +52,16 @@
   this->has_snapshot = true;
 }
 
+auto TableFollower::ReportRollback(StoreVersion current) -> void {
+  const bool is_first_read = this->version == StoreVersion();
+  if (is_first_read || current.epoch == this->version.epoch) return;
+  Log(events::kStoreRolledBack, {{"table", this->options.table},
+                                 {"store_epoch", current.epoch},
+                                 {"store_version", current.number},
+                                 {"last_version", this->version.number}});
+  this->listener.OnRollback();
+}
+
 auto TableFollower::ApplyChanges() -> bool {
   // After a failed call the store is not asked to wait: a long call that it
   // never answers would delay noticing that it is reachable again.
--- a/src/store/table_follower.h
+++ b/src/store/table_follower.h
@@ -55,6 +55,9 @@
  private:
   auto ReadAll() -> void;
   auto ApplyChanges() -> bool;
+  /// Notifies the listener if a snapshot is of a later epoch than the last
+  /// version.
+  auto ReportRollback(StoreVersion current) -> void;
   auto Deliver(const StoreRow& row) -> void;
   auto SetReachable(bool reachable) -> void;
 
--- a/tests/router/store_listeners_test.cc
+++ b/tests/router/store_listeners_test.cc
@@ -51,7 +51,7 @@
 class RestoredTableTest : public testing::Test {
  protected:
   auto Row(const std::string& key, const std::string& sequence) -> StoreRow {
-    return {{"backends", "", key}, sequence, 1, false};
+    return {{"backends", "", key}, sequence, {0, 1}, false};
   }
   auto Leave(const std::string& key, const std::string& sequence) -> void {
     this->listener.OnRow(this->Row(key, sequence));
@@ -187,15 +187,15 @@
     options.table = "routes";
     return options;
   }
-  auto Row(StoreVersion version, const std::string& value) -> StoreRow {
-    return {{"routes", "", "config"}, value, version, false};
+  auto Row(std::uint64_t version, const std::string& value) -> StoreRow {
+    return {{"routes", "", "config"}, value, {0, version}, false};
   }
   /// The coordinator sends the row in a snapshot or as a change.
-  auto Relay(StoreVersion version, const std::string& value, bool is_full)
+  auto Relay(std::uint64_t version, const std::string& value, bool is_full)
       -> void {
     TableUpdate update;
     update.table = "routes";
-    update.version = version;
+    update.version = {0, version};
     update.is_full = is_full;
     update.rows.push_back(this->Row(version, value));
     this->store.OnUpdates({TableUpdate::Decode(update.Encode())},
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -32,9 +32,15 @@
   auto OnReachable(bool reachable) -> void override {
     this->reachable = reachable;
   }
+  auto OnRollback() -> void override {
+    ++this->rollbacks;
+    this->rows_at_rollback = this->rows;
+  }
 
   std::map<std::string, std::string> rows;
+  std::map<std::string, std::string> rows_at_rollback;
   int batches = 0;
+  int rollbacks = 0;
   bool reachable = true;
   bool was_reachable_at_removal = false;
 };
@@ -105,6 +111,20 @@
   EXPECT_TRUE(this->recorder.was_reachable_at_removal);
 }
 
+TEST_F(TableFollowerTest, ReportsARollbackBeforeTheRowsOfTheRestoredTable) {
+  this->store.Put(kRowA, "1");
+  const auto copy = this->store.TakeCopy();
+  this->follower.Step();
+  EXPECT_EQ(this->recorder.rollbacks, 0);
+  this->store.Put(kRowB, "1");
+  this->follower.Step();
+  this->store.Restore(copy);
+  for (int i = 0; i < 3; ++i) this->follower.Step();
+  EXPECT_EQ(this->recorder.rollbacks, 1);
+  EXPECT_EQ(this->recorder.rows_at_rollback.count("b"), 1U);
+  EXPECT_EQ(this->recorder.rows.count("b"), 0U);
+}
+
 TEST_F(TableFollowerTest, DeliversChangesMadeAfterAStoreRollback) {
   this->store.Put(kRowA, "1");
   const auto copy = this->store.TakeCopy();
