Restore the store from an older copy in the soak

A new unplanned fault, store_restore, takes the store away for 0.3 to 3 s and restores it to what it held 1 to 9 s before.

The soak compared owners only by the requests that both ran, so it saw no violation where the ownership simulation and the bench do. Two checks are added, each with a test: check_single_holder (no two processes of servers hold a lease on a key at the same time) and check_rising_tokens (keys go to another process under a higher token only). The comparison of overlapping ranges moves from check_single_owner to check_single_holder; both run.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,11 +6,13 @@
 
 
 def read_server_logs(deployment):
-    """Returns the runs by request id, as (time, key, incarnation), and the leases, from the stand-ins' logs.
+    """Returns the runs by request id, as (time, key, incarnation), the leases and the grants, from the stand-ins' logs.
 
-    An incarnation, (id, start time), is one process of a server. Times are in microseconds."""
+    Grants whose time had already elapsed are left out. An incarnation, (id, start time), is one process of a
+    server. Times are in microseconds."""
     runs = collections.defaultdict(list)
     leases = []                   # (first, last, from, until, incarnation)
+    grants = []                   # (time, first, last, token, incarnation)
     for server in deployment.servers:
         for server_id, started_ms, path in server.logs:
             incarnation = (server_id, started_ms)
@@ -22,6 +24,8 @@
                 elif fields[:1] == ["hold"] and len(fields) == 6:
                     keys = (int(fields[2]), int(fields[3]))
                     now, duration = int(fields[1]), int(fields[5])
+                    if duration > 0:
+                        grants.append((now, *keys, int(fields[4]), incarnation))
                     start, until = open_leases.get(keys, (now, now))
                     if until < now:
                         leases.append((*keys, start, until, incarnation))
@@ -33,7 +37,7 @@
                         start, until = open_leases.pop(keys)
                         leases.append((*keys, start, min(until, int(fields[1])), incarnation))
             leases += [(*keys, start, until, incarnation) for keys, (start, until) in open_leases.items()]
-    return runs, leases
+    return runs, leases, grants
 
 
 def check_responses(requests):
@@ -56,33 +60,57 @@
     return violations
 
 
-def check_single_owner(runs, leases, killed_at):
-    """No two incarnations run requests for a key while both hold a lease on it.
+def overlapping_leases(leases, killed_at):
+    """Yields the leases that two incarnations hold at the same time, as (first, last, from, until, one, other).
 
     killed_at: when each incarnation was killed, which ends its leases."""
-    violations = []
-    ranges = sorted({(first, last) for first, last, *_ in leases})
-    violations += [f"keys {a} and {b} overlap, which this check does not compare"
-                   for a, b in zip(ranges, ranges[1:]) if b[0] <= a[1]]
     by_range = collections.defaultdict(list)
     for first, last, start, until, incarnation in leases:
         until = min(until, killed_at.get(incarnation, until))
         by_range[(first, last)].append((start, until, incarnation))
-    run_list = [(at, key, incarnation) for entries in runs.values() for at, key, incarnation in entries]
-    for (first, last), spans in by_range.items():
+    for keys, spans in by_range.items():
         spans.sort()
-        for i, (start, until, incarnation) in enumerate(spans):
+        for i, (_, until, incarnation) in enumerate(spans):
             for other_start, other_until, other in spans[i + 1:]:
                 if other_start >= until:
                     break
-                if other == incarnation:
-                    continue
-                begin, end = other_start, min(until, other_until)
-                both = {owner for at, key, owner in run_list
-                        if first <= key <= last and begin <= at <= end and owner in (incarnation, other)}
-                if len(both) == 2:
-                    violations.append(f"keys {first}-{last} were served by {incarnation} and {other} "
-                                      f"within {end - begin} us")
+                if other != incarnation:
+                    yield (*keys, other_start, min(until, other_until), incarnation, other)
+
+
+def check_single_holder(leases, killed_at):
+    """No two incarnations hold a lease on a key at the same time."""
+    ranges = sorted({(first, last) for first, last, *_ in leases})
+    violations = [f"keys {a} and {b} overlap, which this check does not compare"
+                  for a, b in zip(ranges, ranges[1:]) if b[0] <= a[1]]
+    violations += [f"keys {first}-{last} were held by {one} and {other} for {end - begin} us from {begin}"
+                   for first, last, begin, end, one, other in overlapping_leases(leases, killed_at)]
+    return violations
+
+
+def check_single_owner(runs, leases, killed_at):
+    """No two incarnations run requests for a key while both hold a lease on it."""
+    violations = []
+    run_list = [(at, key, incarnation) for entries in runs.values() for at, key, incarnation in entries]
+    for first, last, begin, end, one, other in overlapping_leases(leases, killed_at):
+        both = {owner for at, key, owner in run_list
+                if first <= key <= last and begin <= at <= end and owner in (one, other)}
+        if len(both) == 2:
+            violations.append(f"keys {first}-{last} were served by {one} and {other} within {end - begin} us")
+    return violations
+
+
+def check_rising_tokens(grants):
+    """An incarnation that is granted keys has a higher token than the others that were granted them before."""
+    violations = []
+    highest = collections.defaultdict(dict)   # (first, last) -> incarnation -> token
+    for at, first, last, token, incarnation in sorted(grants):
+        tokens = highest[(first, last)]
+        for other, other_token in tokens.items():
+            if other != incarnation and token <= other_token:
+                violations.append(f"keys {first}-{last} were granted to {incarnation} with token {token} at {at}, "
+                                  f"after {other} had them with {other_token}")
+        tokens[incarnation] = max(token, tokens.get(incarnation, token))
     return violations
 
 
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -43,7 +43,23 @@
         self.assertEqual(len(checks.check_single_owner(both, leases, {})), 1)
         self.assertEqual(checks.check_single_owner({"1": [(60, 7, "a")]}, leases, {}), [])
         self.assertEqual(checks.check_single_owner(both, leases, {"a": 40}), [])
-        self.assertEqual(len(checks.check_single_owner({}, [(0, 31, 0, 9, "a"), (16, 47, 0, 9, "b")], {})), 1)
+
+    def test_two_holders_of_one_key(self):
+        leases = [(0, 31, 0, 100, "a"), (0, 31, 50, 150, "b")]
+        self.assertEqual(len(checks.check_single_holder(leases, {})), 1)
+        self.assertEqual(checks.check_single_holder(leases, {"a": 40}), [])
+        self.assertEqual(checks.check_single_holder([(0, 31, 0, 50, "a"), (0, 31, 50, 150, "b")], {}), [])
+        self.assertEqual(checks.check_single_holder([(0, 31, 0, 50, "a"), (0, 31, 40, 90, "a")], {}), [])
+        self.assertEqual(len(checks.check_single_holder([(0, 31, 0, 9, "a"), (16, 47, 0, 9, "b")], {})), 1)
+
+    def test_next_owner_without_a_higher_token(self):
+        def violations(token, owner="b", keys=(0, 31)):
+            return checks.check_rising_tokens([(3, *keys, token, owner), (1, 0, 31, 5, "a"), (2, 0, 31, 6, "a")])
+        self.assertEqual(len(violations(5)), 1)
+        self.assertEqual(len(violations(6)), 1)
+        self.assertEqual(violations(7), [])
+        self.assertEqual(violations(6, owner="a"), [])
+        self.assertEqual(violations(5, keys=(32, 63)), [])
 
     def test_request_cut_off_by_a_stop(self):
         cut = request(1, outcome="closed")
@@ -69,11 +85,13 @@
     def test_reads_server_logs(self):
         with tempfile.TemporaryDirectory() as folder:
             log = pathlib.Path(folder) / "s.log"
-            log.write_text("hold 10 0 31 5 100\nhold 50 0 31 5 100\nrun 60 ab 7\nrelease 70 0 31 6\n")
+            log.write_text("hold 10 0 31 5 100\nhold 50 0 31 5 100\nhold 55 32 63 5 -1\n"
+                           "run 60 ab 7\nrelease 70 0 31 6\n")
             server = types.SimpleNamespace(logs=[("i-1", 3, log)])
-            runs, leases = checks.read_server_logs(types.SimpleNamespace(servers=[server]))
+            runs, leases, grants = checks.read_server_logs(types.SimpleNamespace(servers=[server]))
         self.assertEqual(runs["ab"], [(60, 7, ("i-1", 3))])
-        self.assertEqual(leases, [(0, 31, 10, 70, ("i-1", 3))])
+        self.assertEqual(leases, [(0, 31, 10, 70, ("i-1", 3)), (32, 63, 55, 54, ("i-1", 3))])
+        self.assertEqual(grants, [(10, 0, 31, 5, ("i-1", 3)), (50, 0, 31, 5, ("i-1", 3))])
 
 
 if __name__ == "__main__":
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,6 +15,7 @@
 HEARTBEAT_TTL_S = 2.6  # an entry expires after three missed heartbeats
 RECOVERY_TIME_S = 15.0  # time that the routers have to recover after the last fault
 STOP_GRACE_S = 3.0
+REWRITE_DELAY_S = 0.7  # from a restore of the store until its other writers write again
 SERVICES = {"keyed": True, "plain": False}
 
 
@@ -179,6 +180,13 @@
             body = {"expect": [], "puts": [{**name, "value": text}], "remove": []}
         return await self.call("/rows-tx", json.dumps(body))
 
+    async def restore_store(self, age_s, down_s):
+        """Takes the store away and restores it to what it held age_s before. Returns whether it accepted the call.
+
+        Rows of the operator and of the servers that it loses are written again soon after."""
+        query = f"seconds={age_s:.3f}&downMs={down_s * 1000:.0f}&rewriteMs={REWRITE_DELAY_S * 1000:.0f}"
+        return await self.call(f"/standin/restore?{query}", "")
+
     async def call(self, path, body):
         """Posts to the store directly, not through a proxy. Returns whether it responded with 200."""
         try:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,7 @@
         self.server_killed_at = {}    # (id, started_ms) -> when it was killed, in us
         self.unplanned_faults = []    # (from, until) of faults that are not planned
         self.router_stops = []        # (router, from, until)
+        self.is_store_restoring = False
         self.late_stops = []          # routers that did not stop within the grace period
 
     def log_event(self, text):
@@ -52,7 +53,7 @@
         planned = [self.router_stop, self.server_drain, self.config_change]
         kinds = planned if self.is_planned_only else planned + [
             self.router_kill, self.router_pause, self.server_kill, self.server_pause, self.store_pause,
-            self.store_compact, self.link_fault]
+            self.store_compact, self.store_restore, self.link_fault]
         kind = self.random.choice(kinds)
         began = time.monotonic()
         await kind()
@@ -158,6 +159,19 @@
         self.log_event("drop the store's history")
         await self.deployment.call("/standin/drop-history", "")
 
+    async def store_restore(self):
+        if self.deployment.store.paused_at or self.is_store_restoring:
+            return
+        age_s, down_s = self.random.uniform(1, 9), self.random.uniform(0.3, 3)
+        self.log_event(f"take the store away for {down_s:.1f} s")
+        if not await self.deployment.restore_store(age_s, down_s):
+            self.log_event("the store did not accept the restore")
+            return
+        self.is_store_restoring = True
+        await asyncio.sleep(down_s)
+        self.is_store_restoring = False
+        self.log_event(f"restore the store from a copy {age_s:.1f} s older than its outage")
+
     async def link_fault(self):
         links = [r.store_link for r in self.deployment.routers] + [s.link for s in self.deployment.servers]
         link = self.random.choice(links)
@@ -209,11 +223,13 @@
             await asyncio.gather(*tasks, sync_task, return_exceptions=True)
         finally:
             deployment.stop()
-    runs, leases = checks.read_server_logs(deployment)
+    runs, leases, grants = checks.read_server_logs(deployment)
     violations = unexpected_exits + [f"{name} did not stop within its grace period" for name in injector.late_stops]
     violations += checks.check_responses(requests)
     violations += checks.check_executions(requests, runs)
+    violations += checks.check_single_holder(leases, injector.server_killed_at)
     violations += checks.check_single_owner(runs, leases, injector.server_killed_at)
+    violations += checks.check_rising_tokens(grants)
     violations += checks.check_graceful_stops(requests, runs, injector.undisturbed_stops())
     violations += checks.check_recovery(requests, recovered_at)
     outcomes = collections.Counter(str(r.outcome) for r in requests)
