--- a/tests/platform_wire/wire_fleet.cc
+++ b/tests/platform_wire/wire_fleet.cc
@@ -12,6 +12,8 @@
 constexpr int kBackendCount = 4;
 constexpr auto kAwaitTimeout = std::chrono::seconds(10);
 constexpr auto kPollInterval = std::chrono::milliseconds(5);
+/// The start of each server's first process, in Unix time.
+constexpr std::int64_t kFirstStartMs = 1700000000000;
 
 auto RoutesJson(int version, const std::string& extra_route) -> std::string {
   return R"({"version":)" + std::to_string(version) + R"(,"services":[
@@ -49,6 +51,7 @@
   this->settings.metrics = {"127.0.0.1",
                             static_cast<std::uint16_t>(base_port + 19)};
   this->settings.stop_grace = std::chrono::milliseconds(1000);
+  this->settings.is_first_start = true;
   this->client = std::make_unique<TableStoreClient>(this->settings.store);
   this->servers.push_back(std::make_unique<HttpServer>(
       LocalServerOptions(this->settings.store.port), this->store));
@@ -74,14 +77,18 @@
                                 {"slots", 4},
                                 {"state", state},
                                 {"coldLeftS", 0},
-                                {"seq", 1},
-                                {"born", 1700000000000 + port_index}};
+                                {"seq", ++this->entry_count},
+                                {"born", kFirstStartMs + this->starts[id]}};
   this->store.Put({"servers", "", id}, entry.dump());
 }
 
 auto WireFleet::Register(int number, bool is_draining) -> void {
-  this->PutEntry("i-" + std::to_string(number), number < 2 ? "plain" : "keyed",
-                 number, is_draining ? "draining" : "ready");
+  const auto id = "i-" + std::to_string(number);
+  // A process that has reported draining ends; another one is ready again.
+  if (!is_draining && this->draining.erase(id) != 0) ++this->starts[id];
+  if (is_draining) this->draining.insert(id);
+  this->PutEntry(id, number < 2 ? "plain" : "keyed", number,
+                 is_draining ? "draining" : "ready");
 }
 
 auto WireFleet::RegisterStaleEntry(const std::string& id,
--- a/tests/platform_wire/wire_fleet.h
+++ b/tests/platform_wire/wire_fleet.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -88,6 +90,9 @@
 
   FiberLoop loop;
   RouterSettings settings;
+  std::map<std::string, int> starts;  ///< Restarts of each server, by id.
+  std::set<std::string> draining;     ///< Servers that reported draining.
+  int entry_count = 0;
   WireStore store;
   std::vector<std::unique_ptr<WireBackend>> backends;
   std::vector<std::unique_ptr<HttpServer>> servers;
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,6 +15,7 @@
 HEARTBEAT_TTL_S = 2.6  # an entry expires after three missed heartbeats
 RECOVERY_TIME_S = 15.0  # time that the routers have to recover after the last fault
 STOP_GRACE_S = 3.0
+REWRITE_DELAY_S = 0.7  # from a restore of the store until its other writers write again
 SERVICES = {"keyed": True, "plain": False}
 
 
@@ -59,24 +60,29 @@
     """One router; `process` is its current process. It reaches the store through `store_link`."""
 
     def __init__(self, deployment, number):
+        self.number = number
         self.address = f"127.0.{10 + number}.1"
         self.name = f"front-{number}"
         self.deployment = deployment
         port = deployment.port
         self.store_link = Proxy("127.0.0.1", port + 100 + number, ("127.0.0.1", port))
         self.settings = deployment.out / f"{self.name}.json"
+        self.process = None
+        self.all_processes = []   # of every start, oldest first
+        self.term_at = None       # when it was last sent SIGTERM
+
+    def write_settings(self, is_first_start):
+        port = self.deployment.port
         self.settings.write_text(json.dumps({
-            "node": self.name, "zone": "x", "ip": self.address,
+            "node": self.name, "zone": "x", "ip": self.address, "bootstrap": is_first_start,
             "listen": {"front": f"{self.address}:{port + 1}", "ready": f"{self.address}:{port + 2}"},
             "portRange": [port + 3, port + 10],
             "limits": {"cpuShare": 1.0, "cores": 1, "linkMbps": 1000},
             "bounds": {"graceS": STOP_GRACE_S, "budgetRatio": 0.2, "budgetExtra": 60, "holdMaxS": 10},
-            "platform": {"addr": f"127.0.0.1:{port + 100 + number}"}}))
-        self.process = None
-        self.all_processes = []   # of every start, oldest first
-        self.term_at = None       # when it was last sent SIGTERM
+            "platform": {"addr": f"127.0.0.1:{port + 100 + self.number}"}}))
 
     def start(self):
+        self.write_settings(is_first_start=not self.all_processes)
         self.process = Process([str(self.deployment.build / "platform/currantbeam-router")],
                                {"CURRANTBEAM_BOOT": str(self.settings)},
                                self.deployment.out / f"{self.name}.log")
@@ -179,6 +185,13 @@
             body = {"expect": [], "puts": [{**name, "value": text}], "remove": []}
         return await self.call("/rows-tx", json.dumps(body))
 
+    async def restore_store(self, age_s, down_s):
+        """Takes the store away and restores it to what it held age_s before. Returns whether it accepted the call.
+
+        Rows of the operator and of the servers that it loses are written again soon after."""
+        query = f"seconds={age_s:.3f}&downMs={down_s * 1000:.0f}&rewriteMs={REWRITE_DELAY_S * 1000:.0f}"
+        return await self.call(f"/standin/restore?{query}", "")
+
     async def call(self, path, body):
         """Posts to the store directly, not through a proxy. Returns whether it responded with 200."""
         try:
