Log each request that the end of a stop cuts off

Event 103 only counts the requests that are cut. Event 308, request-cut, names each of them, what it waited for, at which server, how often it was sent, whether it may have run, its age and the time to its deadline; 103 also says how many were not received whole. Needed to tell apart what a request waits for at the end of a stop. No change of behaviour.

--- a/src/core/events.h
+++ b/src/core/events.h
@@ -26,6 +26,7 @@
 constexpr LogEvent kAnswerCut{304, LogLevel::kWarn, "answer-cut"};
 constexpr LogEvent kAttemptFailed{306, LogLevel::kWarn, "attempt-failed"};
 constexpr LogEvent kOwnerGone{307, LogLevel::kInfo, "owner-gone"};
+constexpr LogEvent kRequestCut{308, LogLevel::kError, "request-cut"};
 constexpr LogEvent kReplayed{305, LogLevel::kInfo, "replayed"};
 
 constexpr LogEvent kPlatformLost{400, LogLevel::kWarn, "platform-lost"};
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -85,7 +85,7 @@
       this->Refuse("owner-unsure", kNotReadyRetryAfter, target.get());
       return;
     }
-    this->may_have_run |= outcome == AttemptOutcome::kMayHaveRun;
+    this->request.may_have_run |= outcome == AttemptOutcome::kMayHaveRun;
     if (this->request.is_client_disconnected) break;
     if (!this->MayRetry(outcome)) {
       this->RespondAfterLastAttempt(outcome, *target);
@@ -93,7 +93,7 @@
     }
     Log(events::kRetried, {{"request", this->request.RequestId()},
                            {"after", target->entry.id.Value()},
-                           {"sends", this->send_count}});
+                           {"sends", this->request.send_count}});
   }
   this->RecordResult(RequestResult::kAbandoned);
   this->request.exchange.Abort();
@@ -146,7 +146,7 @@
   const auto kind = this->request.route->kind;
   const auto& servers = state.directory.Ready(this->request.service);
   auto target = state.chooser.Choose(servers, kind, this->tried_servers);
-  if (target == nullptr && this->send_count != 0 && !servers.empty()) {
+  if (target == nullptr && this->request.send_count != 0 && !servers.empty()) {
     // All servers were tried; one that refused may have capacity now.
     target = state.chooser.Choose(servers, kind, {});
   }
@@ -190,9 +190,11 @@
 
 auto ForwardedRequest::RunAttempt(BackendTarget& target) -> AttemptOutcome {
   this->tried_servers.push_back(target.entry.id);
+  this->request.server = target.entry.id;
   ServerAttempt attempt(this->request, target);
   const auto outcome = attempt.Run();
-  if (attempt.WasSent()) ++this->send_count;
+  this->request.is_sent = false;
+  if (attempt.WasSent()) ++this->request.send_count;
   this->request.state.metrics.OnAttempt(this->request.service, target.entry.id,
                                         outcome);
   if (outcome == AttemptOutcome::kAnswered) {
@@ -203,7 +205,7 @@
 }
 
 auto ForwardedRequest::MayRetry(AttemptOutcome last) -> bool {
-  if (this->send_count >= kMaxSends) return false;
+  if (this->request.send_count >= kMaxSends) return false;
   const auto& route = *this->request.route;
   const bool is_idempotent = route.kind != RequestKind::kNonIdempotent;
   if (last == AttemptOutcome::kMayHaveRun) {
@@ -213,7 +215,8 @@
   if (this->request.TimeLeft() <= kMinAttemptTime) return false;
   // Attempts that failed to connect put no load on a server, so they don't
   // count against the retry budget.
-  if (this->send_count == 0) return this->tried_servers.size() < kMaxSends;
+  if (this->request.send_count == 0)
+    return this->tried_servers.size() < kMaxSends;
   return this->request.state.RetryBudgetFor(this->request.service).TryRetry();
 }
 
@@ -222,6 +225,7 @@
   if (!this->request.is_keyed || !key) return true;
   auto& state = this->request.state;
   state.owners.RequestRead();
+  this->request.phase = RequestPhase::kAwaitingOwner;
   const auto now = state.clock.Now();
   // The owner may be known here before the server has received its grant.
   const bool is_first_attempt =
@@ -242,7 +246,7 @@
 auto ForwardedRequest::Refuse(std::string_view reason,
                               std::chrono::milliseconds retry_after,
                               const BackendTarget* target) -> void {
-  if (this->may_have_run) {
+  if (this->request.may_have_run) {
     this->Fail(http::status::bad_gateway, reason);
     return;
   }
@@ -257,7 +261,7 @@
                                   {"service", this->request.service.Value()},
                                   {"reason", reason},
                                   {"retry_after_ms", retry_after.count()},
-                                  {"sends", this->send_count}};
+                                  {"sends", this->request.send_count}};
   if (const auto key = this->request.Key()) fields.emplace_back("key", *key);
   if (target != nullptr) {
     const auto& load = target->load;
@@ -276,15 +280,15 @@
 auto ForwardedRequest::Fail(http::status status, std::string_view reason)
     -> void {
   HttpResponse response{status, 11};
-  SetVerdict(response,
-             this->may_have_run ? Verdict::kMayHaveRun : Verdict::kNotRun);
+  SetVerdict(response, this->request.may_have_run ? Verdict::kMayHaveRun
+                                                  : Verdict::kNotRun);
   response.body() = std::string(reason) + "\n";
   const auto took = this->request.state.clock.Now() - this->request.arrived_at;
   Log(events::kFailed, {{"request", this->request.RequestId()},
                         {"service", this->request.service.Value()},
                         {"status", static_cast<unsigned>(status)},
                         {"reason", reason},
-                        {"sends", this->send_count},
+                        {"sends", this->request.send_count},
                         {"took_us", took.count()}});
   this->RecordResult(RequestResult::kFailed);
   this->request.Respond(std::move(response));
@@ -306,7 +310,7 @@
       {"routes_version", this->request.routes->Config().version},
       {"server", target.entry.id.Value()},
       {"limit", target.load.Limit()},
-      {"sends", this->send_count},
+      {"sends", this->request.send_count},
       {"status", status},
       {"took_us", took.count()}};
   if (const auto key = this->request.Key()) fields.emplace_back("key", *key);
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -71,8 +71,6 @@
 
   RequestContext request;
   std::vector<ServerId> tried_servers;
-  int send_count = 0;
-  bool may_have_run = false;
 };
 
 }  // namespace currantbeam
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -7,6 +7,7 @@
 
 #include "router/end_to_end_headers.h"
 #include "router/request_forwarder.h"
+#include "router/request_phase.h"
 
 namespace currantbeam {
 
@@ -19,7 +20,12 @@
         arrived_at(state.clock.Now()),
         deadline(arrived_at),
         client_deadline(arrived_at),
-        routes(state.routes) {}
+        routes(state.routes) {
+    state.active_requests.Add(*this);
+  }
+  ~RequestContext() { this->state.active_requests.Remove(*this); }
+  RequestContext(const RequestContext&) = delete;
+  auto operator=(const RequestContext&) -> RequestContext& = delete;
 
   ForwardingState& state;
   HttpExchange& exchange;
@@ -33,6 +39,11 @@
   bool is_client_disconnected = false;
   /// The running attempt's connection; cancelled if the client disconnects.
   HttpConnection* upstream = nullptr;
+  RequestPhase phase = RequestPhase::kConnecting;
+  ServerId server;            ///< The server of the last attempt.
+  int send_count = 0;         ///< Completed attempts that sent the request.
+  bool is_sent = false;       ///< The running attempt has begun to send it.
+  bool may_have_run = false;  ///< At the server of an earlier attempt.
 
   /// @return the time until the deadline, but at least 1 ms.
   [[nodiscard]] auto TimeLeft() const -> std::chrono::milliseconds {
@@ -49,7 +60,8 @@
     return static_cast<int>(*number);
   }
   /// Sends the response, or closes the connection if that fails.
-  auto Respond(HttpResponse response) const -> void {
+  auto Respond(HttpResponse response) -> void {
+    this->phase = RequestPhase::kResponding;
     this->exchange.SetDisconnectCallback(nullptr);
     try {
       this->exchange.Send(std::move(response));
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -7,6 +7,7 @@
 #include "http/http.h"
 #include "keys/load_report.h"
 #include "policy/policy.h"
+#include "router/active_requests.h"
 #include "router/backend_chooser.h"
 #include "router/forwarding_headers.h"
 #include "router/owner_directory.h"
@@ -39,6 +40,7 @@
   std::shared_ptr<const RouteTable> routes;
   TargetSequence target_sequence;
   RequestMetrics metrics;
+  ActiveRequests active_requests;
   std::unordered_map<ServiceName, RetryBudget> retry_budgets;
 
   /// @return the retry budget of the service; created on first use.
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -215,7 +215,10 @@
   const auto in_flight = this->caller_server.Drain(
       std::chrono::duration_cast<std::chrono::milliseconds>(time_left));
   if (in_flight != 0) {
-    Log(events::kDrainCutShort, {{"in_hand", in_flight}});
+    const auto active = this->state.active_requests.Count();
+    Log(events::kDrainCutShort,
+        {{"in_hand", in_flight}, {"unread", in_flight - active}});
+    this->state.active_requests.LogCut();
   }
   this->loop.Stop();
 }
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -26,6 +26,7 @@
 auto ServerAttempt::Run() -> AttemptOutcome {
   this->sent_at = this->request.state.clock.Now();
   this->target.load.OnSent();
+  this->request.phase = RequestPhase::kConnecting;
   auto connection = this->Connect();
   if (connection == nullptr) return AttemptOutcome::kNotRun;
   if (this->request.is_client_disconnected) {
@@ -34,6 +35,8 @@
   }
   this->request.upstream = connection.get();
   this->was_sent = true;
+  this->request.is_sent = true;
+  this->request.phase = RequestPhase::kAwaitingAnswer;
   try {
     const auto outcome = this->Exchange(*connection);
     this->request.upstream = nullptr;
@@ -180,6 +183,7 @@
 }
 
 auto ServerAttempt::Deliver(HttpConnection& connection) -> AttemptOutcome {
+  this->request.phase = RequestPhase::kReadingAnswer;
   std::string body;
   const auto length = connection.BodyLength();
   const bool is_large = length && *length > kMaxBufferedBodyBytes;
@@ -205,6 +209,7 @@
 
 auto ServerAttempt::Stream(HttpConnection& connection,
                            const std::string& buffered) -> void {
+  this->request.phase = RequestPhase::kStreamingAnswer;
   auto& exchange = this->request.exchange;
   http::response_header<> head;
   head.result(connection.Head().result_int());
