Apply a raised idle timeout to connections that are idle already

What callers can see: after a change of the configuration that raises the idle timeout, a connection that was idle before closes at the old limit, while the caller reuses it by the new one; a request that is on its way then is not read.

Cause: the timer of an idle connection is set once, from the limit at that moment. Change: when it expires, the wait goes on for the rest of the limit that is in force then. A lowered limit applies from the next wait on, as before.

Evidence: IdleConnection.StaysOpenIfTheTimeoutIsRaisedWhileItIsIdle failed at ("Value of: is_answered, Actual: false, Expected: true") and passes now.

--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -32,8 +32,9 @@
   /// then distributes the connections among them.
   /// @throws Error if the address cannot be bound.
   auto Listen(FiberLoop& loop) -> void;
-  /// Replaces the limits, from the next request of each connection on. Call on
-  /// the listening loop; only for servers that listen on a single loop.
+  /// Replaces the limits, from the next request of each connection on. A longer
+  /// idle timeout also applies to connections that are idle. Call on the
+  /// listening loop; only for servers that listen on a single loop.
   auto SetLimits(const HttpLimits& limits) -> void;
   /// From now on, each response closes its connection (Connection: close).
   auto CloseAfterResponses() -> void { this->close_after_response = true; }
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -291,11 +291,17 @@
 }
 
 auto HttpServer::Connection::AwaitFirstBytes() -> AwaitResult {
-  const ReadTimeout timeout(this->stream.socket(),
-                            this->server.options.limits.idle_timeout);
+  const auto idle_since = std::chrono::steady_clock::now();
   this->server.SetIdle(this, true);
   try {
-    const auto result = this->ReadSome();
+    AwaitResult result;
+    do {
+      const ReadTimeout timeout(this->stream.socket(),
+                                this->IdleTimeLeft(idle_since));
+      result = this->ReadSome();
+    } while (result.error == asio::error::operation_aborted &&
+             !this->server.stopping &&
+             this->IdleTimeLeft(idle_since) > std::chrono::milliseconds(0));
     this->server.SetIdle(this, false);
     return result;
   } catch (const LoopStopped&) {
@@ -304,6 +310,14 @@
   }
 }
 
+auto HttpServer::Connection::IdleTimeLeft(
+    std::chrono::steady_clock::time_point idle_since) const
+    -> std::chrono::milliseconds {
+  const auto idle_until = idle_since + this->server.options.limits.idle_timeout;
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      idle_until - std::chrono::steady_clock::now());
+}
+
 auto HttpServer::Connection::ReadSome() -> AwaitResult {
   return Await([&](auto handler) {
     this->stream.async_read_some(this->buffer.prepare(kFirstReadBytes),
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -3,6 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 
@@ -79,10 +80,15 @@
   /// HttpLimits::idle_timeout.
   /// @return false if the connection was closed or timed out instead.
   auto ReadFirstBytes() -> bool;
-  /// Reads bytes while the connection counts as idle.
+  /// Reads bytes while the connection counts as idle. A limit that is raised
+  /// meanwhile applies to this wait, too.
   /// @return operation_aborted after the idle timeout or CancelRead(); the
   ///   socket stays open.
   auto AwaitFirstBytes() -> AwaitResult;
+  /// @return the time until the idle timeout; negative after it.
+  [[nodiscard]] auto IdleTimeLeft(
+      std::chrono::steady_clock::time_point idle_since) const
+      -> std::chrono::milliseconds;
   /// Reads into the buffer, without committing the bytes.
   auto ReadSome() -> AwaitResult;
 
--- a/tests/http/idle_connection_test.cc
+++ b/tests/http/idle_connection_test.cc
@@ -85,5 +85,31 @@
   EXPECT_TRUE(is_answered);
 }
 
+// Callers reuse the connection by the raised limit.
+TEST(IdleConnection, StaysOpenIfTheTimeoutIsRaisedWhileItIsIdle) {
+  OkHandler handler;
+  auto options = LocalServerOptions(kPort + 1);
+  options.limits.idle_timeout = milliseconds(200);
+  HttpServer server(options, handler);
+  FiberLoop loop;
+  bool is_answered = false;
+  RunInFiber(loop, [&] {
+    server.Listen(loop);
+    HttpConnection connection("127.0.0.1", kPort + 1);
+    connection.Connect(std::chrono::seconds(1));
+    connection.Send({http::verb::get, "/", 11}, std::chrono::seconds(1));
+    EXPECT_TRUE(IsAnswered(connection));
+    auto limits = options.limits;
+    limits.idle_timeout = std::chrono::seconds(30);
+    server.SetLimits(limits);
+    SleepFor(2 * options.limits.idle_timeout);
+    EXPECT_FALSE(connection.IsStale());
+    connection.Send({http::verb::get, "/", 11}, std::chrono::seconds(1));
+    is_answered = IsAnswered(connection);
+    server.StopAccepting();
+  });
+  EXPECT_TRUE(is_answered);
+}
+
 }  // namespace
 }  // namespace currantbeam
