Test the refusal of requests that outlast a stop; word the 503 of unread ones

ForwardedRequest.IsRefusedIfTheProcessStopsBeforeItsServerCanRespond fails without the check ("no-room" in place of "stopping"). The body of responses to rejected input said "request not understood", which is wrong for requests that a stopping server did not receive whole; it says "request rejected" now.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -359,7 +359,7 @@
   HttpResponse response{status, 11};
   SetVerdict(response, Verdict::kNotRun);
   response.set(http::field::content_type, "text/plain");
-  response.body() = "request not understood: " + reason + "\n";
+  response.body() = "request rejected: " + reason + "\n";
   this->request = HttpRequest();
   this->request.keep_alive(false);
   try {
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -130,6 +130,43 @@
       << "the server was tried";
 }
 
+/// A request that keeps the response to it.
+class RecordingExchange : public DisconnectedExchange {
+ public:
+  auto Send(HttpResponse response) -> void override {
+    this->response = std::move(response);
+  }
+  [[nodiscard]] auto IsClientDisconnected() const -> bool override {
+    return false;
+  }
+
+  HttpResponse response;
+};
+
+TEST(ForwardedRequest, IsRefusedIfTheProcessStopsBeforeItsServerCanRespond) {
+  ManualClock clock;
+  BackendDirectory directory(clock);
+  auto entry = MakeEntry("a", 1);
+  entry.address = "127.0.0.1";
+  directory.Apply(entry);
+  OwnerDirectory owners(clock);
+  LoadRecorder loads;
+  RouteConfig config;
+  config.hosts["h"] = {MakeRoute("s", "/s/")};
+  config.hosts["h"].front().timeout = std::chrono::seconds(5);
+  ForwardingState state(clock, {}, directory, owners, loads,
+                        FailureDomain("x"));
+  state.routes = std::make_shared<const RouteTable>(config);
+  state.stop = StopSchedule(clock.Now(), std::chrono::seconds(6));
+  clock.Advance(state.stop.servers_until - clock.Now() - milliseconds(5));
+  RecordingExchange exchange;
+  FiberLoop loop;
+  RunInFiber(loop, [&] { ForwardedRequest(state, exchange).Run(); });
+  EXPECT_EQ(exchange.response.result(), http::status::service_unavailable);
+  EXPECT_EQ(exchange.response[kVerdictHeader], "not-run");
+  EXPECT_EQ(exchange.response.body(), "stopping\n");
+}
+
 TEST(RequestMetrics, AggregatesServersBeyondTheLimit) {
   RequestMetrics metrics;
   for (int i = 0; i < 1003; ++i) {
