--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -32,8 +32,9 @@
   /// then distributes the connections among them.
   /// @throws Error if the address cannot be bound.
   auto Listen(FiberLoop& loop) -> void;
-  /// Replaces the limits, from the next request of each connection on. Call on
-  /// the listening loop; only for servers that listen on a single loop.
+  /// Replaces the limits, from the next request of each connection on. A longer
+  /// idle timeout also applies to connections that are idle. Call on the
+  /// listening loop; only for servers that listen on a single loop.
   auto SetLimits(const HttpLimits& limits) -> void;
   /// From now on, each response closes its connection (Connection: close).
   auto CloseAfterResponses() -> void { this->close_after_response = true; }
@@ -43,6 +44,10 @@
   /// Closes the connections that have no request in flight. Call on the
   /// listening loop; only for servers that listen on a single loop.
   auto CloseIdleConnections() -> void;
+  /// Responds with 503 to the requests that have not been received whole, from
+  /// now on without waiting for the rest. Call on the listening loop; only for
+  /// servers that listen on a single loop.
+  auto RejectUnreadRequests() -> void;
   /// Waits until no request is in flight.
   /// @return the number of requests still in flight after the timeout.
   auto Drain(std::chrono::milliseconds timeout) -> std::size_t;
@@ -56,16 +61,20 @@
   auto AcceptLoop(const std::shared_ptr<Acceptor>& acceptor) -> void;
   auto Serve(TcpSocket socket) -> void;
   auto SetIdle(Connection* connection, bool is_idle) -> void;
+  auto SetReading(Connection* connection, bool is_reading) -> void;
 
   Options options;
   HttpHandler& handler;
   std::atomic<bool> stopping{false};
   std::atomic<bool> close_after_response{false};
+  std::atomic<bool> rejecting_unread{false};
   std::atomic<std::size_t> in_flight{0};
   std::atomic<std::size_t> connections{0};
   /// Guards the members below. No other lock is acquired while it is held.
   std::mutex mutex;
   std::set<Connection*> idle_connections;
+  /// Connections that are receiving a request.
+  std::set<Connection*> reading_connections;
   std::vector<std::pair<FiberLoop*, std::shared_ptr<Acceptor>>> acceptors;
 };
 
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -3,6 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 
@@ -32,9 +33,9 @@
   auto SetDisconnectCallback(std::function<void()> on_disconnect)
       -> void override;
 
-  /// Cancels the read that waits for the next request, which closes the
-  /// connection. Call only while the connection is idle.
-  auto CancelIdleRead() -> void;
+  /// Cancels the pending read: of an idle connection, which closes it, or of a
+  /// request, which rejects it.
+  auto CancelRead() -> void;
 
  private:
   /// State of the asynchronous wait for a disconnect by the client; shared with
@@ -64,6 +65,11 @@
   /// @return whether there is a request to handle.
   auto ReadRequest() -> bool;
 
+  /// Reads a whole request.
+  /// @return operation_aborted if its head is late or the server rejects what
+  ///   is unread; the socket stays open for an error response.
+  auto ReadMessage(http::request_parser<http::string_body>& parser)
+      -> AwaitResult;
   /// Reads the head of a request, within HttpLimits::header_timeout.
   /// @return operation_aborted after the timeout; the socket stays open for an
   ///   error response.
@@ -74,10 +80,15 @@
   /// HttpLimits::idle_timeout.
   /// @return false if the connection was closed or timed out instead.
   auto ReadFirstBytes() -> bool;
-  /// Reads bytes while the connection counts as idle.
-  /// @return operation_aborted after the idle timeout or CancelIdleRead(); the
+  /// Reads bytes while the connection counts as idle. A limit that is raised
+  /// meanwhile applies to this wait, too.
+  /// @return operation_aborted after the idle timeout or CancelRead(); the
   ///   socket stays open.
   auto AwaitFirstBytes() -> AwaitResult;
+  /// @return the time until the idle timeout; negative after it.
+  [[nodiscard]] auto IdleTimeLeft(
+      std::chrono::steady_clock::time_point idle_since) const
+      -> std::chrono::milliseconds;
   /// Reads into the buffer, without committing the bytes.
   auto ReadSome() -> AwaitResult;
 
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -7,6 +7,7 @@
 
 #include "router/end_to_end_headers.h"
 #include "router/request_forwarder.h"
+#include "router/request_phase.h"
 
 namespace currantbeam {
 
@@ -19,7 +20,12 @@
         arrived_at(state.clock.Now()),
         deadline(arrived_at),
         client_deadline(arrived_at),
-        routes(state.routes) {}
+        routes(state.routes) {
+    state.active_requests.Add(*this);
+  }
+  ~RequestContext() { this->state.active_requests.Remove(*this); }
+  RequestContext(const RequestContext&) = delete;
+  auto operator=(const RequestContext&) -> RequestContext& = delete;
 
   ForwardingState& state;
   HttpExchange& exchange;
@@ -33,12 +39,31 @@
   bool is_client_disconnected = false;
   /// The running attempt's connection; cancelled if the client disconnects.
   HttpConnection* upstream = nullptr;
+  RequestPhase phase = RequestPhase::kConnecting;
+  ServerId server;            ///< The server of the last attempt.
+  int send_count = 0;         ///< Completed attempts that sent the request.
+  bool is_sent = false;       ///< The running attempt has begun to send it.
+  bool may_have_run = false;  ///< At the server of an earlier attempt.
 
-  /// @return the time until the deadline, but at least 1 ms.
+  /// @return when the request must get a response: at its deadline, or before
+  ///   the process stops.
+  [[nodiscard]] auto RespondAt() const -> TimePoint {
+    return std::min(this->deadline, this->state.stop.respond_at);
+  }
+  /// @return when the server must have responded.
+  [[nodiscard]] auto ServerDeadline() const -> TimePoint {
+    return std::min(this->deadline, this->state.stop.servers_until);
+  }
+  /// @return the time until RespondAt(), but at least 1 ms.
   [[nodiscard]] auto TimeLeft() const -> std::chrono::milliseconds {
+    return this->TimeUntil(this->RespondAt());
+  }
+  /// @return the time until `time`, but at least 1 ms.
+  [[nodiscard]] auto TimeUntil(TimePoint time) const
+      -> std::chrono::milliseconds {
     const auto time_left =
         std::chrono::duration_cast<std::chrono::milliseconds>(
-            this->deadline - this->state.clock.Now());
+            time - this->state.clock.Now());
     return std::max(time_left, std::chrono::milliseconds(1));
   }
   /// @return the request's key; nothing if the header is absent or invalid.
@@ -49,7 +74,8 @@
     return static_cast<int>(*number);
   }
   /// Sends the response, or closes the connection if that fails.
-  auto Respond(HttpResponse response) const -> void {
+  auto Respond(HttpResponse response) -> void {
+    this->phase = RequestPhase::kResponding;
     this->exchange.SetDisconnectCallback(nullptr);
     try {
       this->exchange.Send(std::move(response));
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -7,11 +7,13 @@
 #include "http/http.h"
 #include "keys/load_report.h"
 #include "policy/policy.h"
+#include "router/active_requests.h"
 #include "router/backend_chooser.h"
 #include "router/forwarding_headers.h"
 #include "router/owner_directory.h"
 #include "router/request_metrics.h"
 #include "router/route_table.h"
+#include "router/stop_schedule.h"
 
 namespace currantbeam {
 
@@ -39,6 +41,8 @@
   std::shared_ptr<const RouteTable> routes;
   TargetSequence target_sequence;
   RequestMetrics metrics;
+  ActiveRequests active_requests;
+  StopSchedule stop;
   std::unordered_map<ServiceName, RetryBudget> retry_budgets;
 
   /// @return the retry budget of the service; created on first use.
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -26,6 +26,7 @@
 auto ServerAttempt::Run() -> AttemptOutcome {
   this->sent_at = this->request.state.clock.Now();
   this->target.load.OnSent();
+  this->request.phase = RequestPhase::kConnecting;
   auto connection = this->Connect();
   if (connection == nullptr) return AttemptOutcome::kNotRun;
   if (this->request.is_client_disconnected) {
@@ -34,6 +35,8 @@
   }
   this->request.upstream = connection.get();
   this->was_sent = true;
+  this->request.is_sent = true;
+  this->request.phase = RequestPhase::kAwaitingAnswer;
   try {
     const auto outcome = this->Exchange(*connection);
     this->request.upstream = nullptr;
@@ -95,8 +98,10 @@
     forwarded.method_string(request.method_string());
   }
   CopyEndToEndHeaders(request, forwarded);
-  forwarded.set(headers.deadline_ms,
-                std::to_string(this->request.TimeLeft().count()));
+  forwarded.set(
+      headers.deadline_ms,
+      std::to_string(
+          this->request.TimeUntil(this->request.ServerDeadline()).count()));
   forwarded.set(headers.server_id, this->target.entry.id.Value());
   forwarded.body() = request.body();
   forwarded.prepare_payload();
@@ -180,6 +185,7 @@
 }
 
 auto ServerAttempt::Deliver(HttpConnection& connection) -> AttemptOutcome {
+  this->request.phase = RequestPhase::kReadingAnswer;
   std::string body;
   const auto length = connection.BodyLength();
   const bool is_large = length && *length > kMaxBufferedBodyBytes;
@@ -205,6 +211,7 @@
 
 auto ServerAttempt::Stream(HttpConnection& connection,
                            const std::string& buffered) -> void {
+  this->request.phase = RequestPhase::kStreamingAnswer;
   auto& exchange = this->request.exchange;
   http::response_header<> head;
   head.result(connection.Head().result_int());
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -311,6 +311,11 @@
     };
     EXPECT_TRUE(
         WireFleet::Await([&] { return held(2) + held(3) == kKeyCount; }));
+    // On the first start of a fleet, a host may read the owners 3 s later.
+    EXPECT_TRUE(WireFleet::Await([&] {
+      return this->fleet.Send("/keyed/a", "id-0", http::verb::get, 1)
+                 .result_int() == 200;
+    }));
     this->fleet.Register(2, true);
     EXPECT_TRUE(WireFleet::Await([&] { return held(3) == kKeyCount; }));
     EXPECT_EQ(held(2), 0);
