Let a holder renew its lease after a rollback without yielding it first

On a host with few resources, which leaves a free lease to others for up to 0.8 s, the holder left its own lease for that time when it read the row again after a rollback or a conflict. The lease could expire meanwhile, and a takeover beside a rollback leaves keys without an owner for some seconds.

AHolderThatYieldsFreeLeasesKeepsItsOwn fails without the change (the renewal comes 1.02 s after the restore, not within 0.4 s) and passes with it.

--- a/src/keys/coordinator_lease.cc
+++ b/src/keys/coordinator_lease.cc
@@ -33,8 +33,8 @@
 }
 
 auto CoordinatorLease::Step() -> Duration {
-  if (this->version.number != 0 && this->IsHeld())
-    return this->AcquireOrRenew();
+  const bool is_row_known = this->version.number != 0;
+  if (is_row_known && this->IsHeld()) return this->AcquireOrRenew();
   return this->ReadLease();
 }
 
@@ -62,8 +62,8 @@
     this->free_since.reset();
     return lease_remaining + this->Jitter();
   }
-  return this->HasYielded() ? this->AcquireOrRenew()
-                            : this->options.yield_delay;
+  const bool may_acquire = this->IsHeld() || this->HasYielded();
+  return may_acquire ? this->AcquireOrRenew() : this->options.yield_delay;
 }
 
 auto CoordinatorLease::LeaseRemaining() const -> Duration {
--- a/tests/keys/lease_rollback_test.cc
+++ b/tests/keys/lease_rollback_test.cc
@@ -61,6 +61,22 @@
   EXPECT_FALSE(this->former.IsHeld());
 }
 
+TEST_F(LeaseRollbackTest, AHolderThatYieldsFreeLeasesKeepsItsOwn) {
+  auto options = OptionsOf("weak", true);
+  options.yield_delay = milliseconds(800);
+  CoordinatorLease weak(this->store, this->clock, options);
+  this->TimeToAcquire(weak);
+  this->store.Restore(this->store.TakeCopy());
+  const auto restored_at = this->clock.Now();
+  auto renewed_at = restored_at;
+  while (weak.IsHeld() && weak.Epoch() == 0) {
+    renewed_at = this->clock.Now();
+    this->clock.Advance(weak.Step());
+  }
+  EXPECT_EQ(weak.Epoch(), 1U);
+  EXPECT_LT(renewed_at - restored_at, milliseconds(400));
+}
+
 TEST_F(LeaseRollbackTest, AHostWaitsIfTheStoreLostTheFirstLease) {
   const auto empty = this->store.TakeCopy();
   this->last.Step();
