Commit the owners at once in a new epoch, and wait out its own grants, too

A coordinator that continues in a new epoch grants from its own map before it has committed it again, and an unanswered release put that commit off for as long as the release was repeated. A coordinator that took over then read the rolled-back map and waited only for grants of earlier epochs: two servers could hold the same keys.

The commit no longer waits for releases, and a takeover that finds a map of an earlier epoch waits for the longest hold from then on.

CommitsAgainAfterARollbackThoughAReleaseIsUnanswered fails without the first part. No test shows the sequence as a whole: the simulation has no fault in which the lease is renewed and the commit fails.

--- a/src/keys/coordinator_lease.cc
+++ b/src/keys/coordinator_lease.cc
@@ -95,9 +95,12 @@
 }
 
 auto CoordinatorLease::LostLeaseRemaining() const -> Duration {
-  // The last holder of an earlier epoch is the only one.
+  // No other host has acquired the lease since: in this epoch, hosts wait for
+  // its whole duration first.
   if (this->IsHeld()) return Duration(0);
-  const Duration remaining = this->LostLeaseEnd() - this->clock.Now();
+  // Leases of earlier epochs were acquired before this one was observed.
+  const Duration remaining =
+      this->epoch_observed_at + this->options.duration - this->clock.Now();
   return std::min<Duration>(remaining, kLostLeasePollInterval);
 }
 
--- a/src/keys/coordinator_lease.h
+++ b/src/keys/coordinator_lease.h
@@ -67,11 +67,6 @@
   [[nodiscard]] auto MayHaveLostRows() const -> bool {
     return this->first_epoch != this->epoch;
   }
-  /// @return the latest time at which another host can have held the lease by a
-  ///   record that the store lost.
-  [[nodiscard]] auto LostLeaseEnd() const -> TimePoint {
-    return this->epoch_observed_at + this->options.duration;
-  }
   /// @return how many times this process acquired the lease; renewals before
   ///   the expiry don't count.
   [[nodiscard]] auto Term() const -> int { return this->term; }
--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -46,11 +46,11 @@
   }
 }
 
-auto GrantScheduler::LoadRolledBack(OwnerMap map, StoreVersion version,
-                                    TimePoint last_granted_at) -> void {
+auto GrantScheduler::LoadRolledBack(OwnerMap map, StoreVersion version)
+    -> void {
   this->Load(std::move(map), version);
   this->paused_until =
-      this->LatestExpiry(last_granted_at, this->timing.max_ttl);
+      this->LatestExpiry(this->clock.Now(), this->timing.max_ttl);
 }
 
 auto GrantScheduler::ContinueAfterRollback(StoreVersion version) -> void {
@@ -314,7 +314,9 @@
 
 auto GrantScheduler::PlanChange() -> bool {
   if (this->clock.Now() < this->paused_until) return false;
-  if (this->IsBatching(this->clock.Now())) return false;
+  // A takeover relies on a map that was committed in the epoch.
+  const bool is_batching = this->IsBatching(this->clock.Now());
+  if (is_batching && !this->is_commit_due) return false;
   const auto moves = StripePlanner::AssignStripes(this->Placement());
   bool has_stale_token = false;
   for (int i = 0; i < this->map.StripeCount(); ++i) {
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -61,11 +61,9 @@
   /// continues in the version's epoch.
   auto Load(OwnerMap map, StoreVersion version) -> void;
   /// Starts from a stored map of an earlier epoch, which may lack the last
-  /// changes: any server may hold any stripe until the grants of coordinators
-  /// of earlier epochs have expired. Nothing is granted or planned before that.
-  /// @param last_granted_at  the latest time of such a grant.
-  auto LoadRolledBack(OwnerMap map, StoreVersion version,
-                      TimePoint last_granted_at) -> void;
+  /// changes: any server may hold any stripe until the grants of previous
+  /// coordinators have expired. Nothing is granted or planned before that.
+  auto LoadRolledBack(OwnerMap map, StoreVersion version) -> void;
   /// Continues with the current map after the store was rolled back to an
   /// earlier one; the map has to be committed again.
   /// @param version  of the map in the store.
--- a/src/keys/service_coordinator.cc
+++ b/src/keys/service_coordinator.cc
@@ -106,8 +106,9 @@
     // newest one.
     this->scheduler.ContinueAfterRollback(row.version);
   } else if (is_rolled_back) {
-    this->scheduler.LoadRolledBack(std::move(map), row.version,
-                                   this->lease.LostLeaseEnd());
+    // A coordinator of this epoch, too, may have granted keys from its own copy
+    // of the map until now, without committing it again.
+    this->scheduler.LoadRolledBack(std::move(map), row.version);
   } else {
     this->scheduler.Load(std::move(map), row.version);
     this->stored = std::move(row);
--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -195,6 +195,45 @@
   EXPECT_EQ(granted_at.size(), 256U);
 }
 
+TEST(GrantScheduler, CommitsAgainAfterARollbackThoughAReleaseIsUnanswered) {
+  ManualClock clock;
+  GrantScheduler scheduler(clock, GrantTiming());
+  auto servers = MakeServers(2);
+  scheduler.Load(OwnerMap(16), StoreVersion());
+  scheduler.SetServers(servers, {});
+  scheduler.TakeDueCommands();
+  ASSERT_TRUE(scheduler.PlanChange());
+  scheduler.OnCommitted({0, 1});
+  for (const auto& command : scheduler.TakeDueCommands()) {
+    scheduler.OnGrantReply(command, GrantReply::kAccepted);
+  }
+  servers.pop_back();
+  scheduler.SetServers(servers, {});
+  ASSERT_FALSE(scheduler.TakeDueCommands().empty());
+  ASSERT_FALSE(scheduler.PlanChange());
+  scheduler.ContinueAfterRollback({1, 1});
+  EXPECT_TRUE(scheduler.PlanChange());
+}
+
+TEST(GrantScheduler, WaitsForUnknownGrantsAfterATakeoverBesideARollback) {
+  ManualClock clock;
+  GrantScheduler scheduler(clock, GrantTiming());
+  OwnerMap map(16);
+  const auto servers = MakeServers(2);
+  for (int i = 0; i < 16; ++i) map.Assign(i, servers[0].owner, 1);
+  scheduler.LoadRolledBack(map, {1, 1});
+  scheduler.SetServers(servers, {});
+  const auto max_hold = GrantTiming().max_ttl * 1.02;
+  for (Duration waited{0}; waited < max_hold;
+       waited += std::chrono::seconds(1)) {
+    EXPECT_TRUE(scheduler.TakeDueCommands().empty());
+    EXPECT_FALSE(scheduler.PlanChange());
+    clock.Advance(std::chrono::seconds(1));
+  }
+  EXPECT_TRUE(scheduler.PlanChange());
+  EXPECT_GT(scheduler.PlannedMap().TokenOf(0), FencingToken(1) << 32);
+}
+
 /// The store becomes unreachable, so the lease is no longer renewed and
 /// expires. The keys have to stay granted beyond the end of the lease.
 TEST(GrantScheduler, GrantsTheMaxTtlBeforeTheLeaseExpires) {
