--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -100,7 +100,13 @@
   }
   const std::chrono::milliseconds max_wait =
       this->is_leader ? kLeaderPollWait : kStandaloneWait;
-  return this->FollowDirectly(shared, table, after, std::min(wait, max_wait));
+  try {
+    return this->FollowDirectly(shared, table, after, std::min(wait, max_wait));
+  } catch (const StoreError&) {
+    // The leader reaches the store, and its snapshot is newer than this copy.
+    if (!shared.table.HasPendingSnapshot()) throw;
+    throw HistoryLost("the store failed, but the leader sent a snapshot");
+  }
 }
 
 auto RelayedStore::FollowDirectly(SharedTable& shared, const std::string& table,
--- a/tests/store/relayed_store_test.cc
+++ b/tests/store/relayed_store_test.cc
@@ -255,6 +255,20 @@
   EXPECT_EQ(this->other.recorder.rows.size(), 4U);
 }
 
+TEST_F(RelayedStoreTest, AppliesALeadersSnapshotWhileTheStoreIsUnreachable) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  const auto copy = this->memory.TakeCopy();
+  this->memory.Put({kTable, "", "a"}, "2");
+  for (auto* host : {&this->leader, &this->other}) host->Step();
+  this->memory.Restore(copy);
+  this->memory.Put({kTable, "", "a"}, "3");
+  for (int i = 0; i < 2; ++i) this->leader.Step();
+  this->memory.SetDown(true);
+  this->other.SyncFrom(this->leader, this->clock);
+  for (int i = 0; i < 2; ++i) this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows.at("a"), "3");
+}
+
 TEST_F(RelayedStoreTest, StartsFromTheStoreIfThereIsNoLeader) {
   this->memory.Put({kTable, "", "a"}, "1");
   this->other.Step();
