Keep an owner's grants if an older process is listed at its address

What callers can see: two servers run requests for the same key (OWNER).

Cause: an owner that does not respond counts as ended, and its grants with it, once another process is registered at its address. Any other entry with that address counted, also that of the server that used the address before and ended: its entry stays in the table until its heartbeats have timed out, longer during an outage of the store, and a restore of the store can bring it back. The stripes of an owner that is only cut off from the coordinator, and serves its callers, were then given to others at once.

Change: only a process that started later than the owner ends it. Both start times are by the clock of the machine with that address; if it was set back in between, the coordinator waits for the expiry of the grants instead.

--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -98,7 +98,7 @@
 }
 
 auto GrantScheduler::OnAddressReused(const std::string& address,
-                                     std::uint16_t port, const ServerId& id,
+                                     std::uint16_t port,
                                      std::chrono::milliseconds started)
     -> void {
   for (int i = 0; i < this->map.StripeCount(); ++i) {
@@ -106,11 +106,13 @@
     if (owner == nullptr) continue;
     const bool is_same_address =
         owner->address == address && owner->port == port;
-    const bool is_other_process = owner->id != id || owner->started != started;
+    // The entry of a process that used the address before the owner may still
+    // be listed.
+    const bool is_later_process = started > owner->started;
     // A grant sent after contact was lost may have reached the new process, so
     // its stripe keeps its expiry.
     auto& stripe = this->stripes[i];
-    if (is_same_address && is_other_process && stripe.is_unreachable) {
+    if (is_same_address && is_later_process && stripe.is_unreachable) {
       stripe.held_until = TimePoint{};
     }
   }
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -76,11 +76,10 @@
   /// @return the owners of stripes for which OnGrantReply() was not called
   ///   since OnOwnerUnreachable().
   [[nodiscard]] auto UnreachableOwners() const -> std::vector<KeyOwner>;
-  /// Call when another process listens at an owner's address: an owner that was
-  /// unreachable has then ended, and so have its grants.
+  /// Call when a process is registered at an owner's address: an unreachable
+  /// owner that started earlier has then ended, and so have its grants.
   auto OnAddressReused(const std::string& address, std::uint16_t port,
-                       const ServerId& id, std::chrono::milliseconds started)
-      -> void;
+                       std::chrono::milliseconds started) -> void;
 
   /// Call when the owner refuses connections or does not respond. It may have
   /// restarted without its grants before its registration shows that, so its
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -143,8 +143,7 @@
     for (const auto& [id, target] : this->directory.All()) {
       const auto& entry = target->entry;
       if (entry.address != owner.address || entry.port != owner.port) continue;
-      scheduler.OnAddressReused(entry.address, entry.port, entry.id,
-                                entry.started);
+      scheduler.OnAddressReused(entry.address, entry.port, entry.started);
     }
   }
 }
--- a/tests/keys/ownership_simulation.cc
+++ b/tests/keys/ownership_simulation.cc
@@ -264,7 +264,7 @@
     const auto& entry = server.registered;
     eligible.push_back({entry, 1});
     host.service.Scheduler().OnAddressReused(entry.address, entry.port,
-                                             entry.id, entry.started);
+                                             entry.started);
   }
   const auto commands = host.service.TakeDueCommands(eligible);
   for (const auto& command : commands) this->Send(index, command);
--- /dev/null
+++ b/tests/keys/replaced_owner_test.cc
@@ -0,0 +1,69 @@
+#include <gtest/gtest.h>
+
+#include "keys/keys.h"
+#include "keys/test_servers.h"
+
+namespace currantbeam {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A service whose stripes are granted to two servers.
+class ReplacedOwnerTest : public testing::Test {
+ protected:
+  static constexpr int kStripes = 16;
+
+  ReplacedOwnerTest() : servers(MakeServers(2)) {
+    this->scheduler.Load(OwnerMap(kStripes), StoreVersion());
+    this->scheduler.SetServers(this->servers, {});
+    this->CommitChange();
+    for (const auto& command : this->scheduler.TakeDueCommands()) {
+      this->scheduler.OnGrantReply(command, GrantReply::kAccepted);
+    }
+  }
+
+  auto CommitChange() -> void {
+    ASSERT_TRUE(this->scheduler.PlanChange());
+    ++this->version.number;
+    this->scheduler.OnCommitted(this->version);
+  }
+  /// @return how many stripes the planned map gives to the server.
+  [[nodiscard]] auto PlannedStripesOf(const KeyOwner& owner) const -> int {
+    int count = 0;
+    for (int i = 0; i < kStripes; ++i) {
+      const auto* planned = this->scheduler.PlannedMap().OwnerOf(i);
+      count += planned != nullptr && *planned == owner ? 1 : 0;
+    }
+    return count;
+  }
+
+  ManualClock clock;
+  GrantScheduler scheduler{this->clock, GrantTiming()};
+  std::vector<EligibleServer> servers;
+  StoreVersion version;
+};
+
+TEST_F(ReplacedOwnerTest, GrantsHoldThoughAnOlderProcessIsListedAtTheAddress) {
+  const auto owner = this->servers.front().owner;
+  this->scheduler.OnOwnerUnreachable(owner);
+  this->scheduler.OnAddressReused(owner.address, owner.port,
+                                  owner.started - milliseconds(1));
+  this->scheduler.SetServers({this->servers.back()}, {});
+  this->scheduler.TakeDueCommands();
+  EXPECT_FALSE(this->scheduler.PlanChange());
+}
+
+TEST_F(ReplacedOwnerTest, GrantsEndOnceALaterProcessListensAtTheAddress) {
+  const auto owner = this->servers.front().owner;
+  const auto other = this->servers.back();
+  this->scheduler.OnOwnerUnreachable(owner);
+  this->scheduler.OnAddressReused(owner.address, owner.port,
+                                  owner.started + milliseconds(1));
+  this->scheduler.SetServers({other}, {});
+  this->scheduler.TakeDueCommands();
+  ASSERT_TRUE(this->scheduler.PlanChange());
+  EXPECT_EQ(this->PlannedStripesOf(other.owner), kStripes);
+}
+
+}  // namespace
+}  // namespace currantbeam
