Check queued grants again before they are sent

What callers can see: a server that has just started gets keys under the token of its former process (OWNER).

Cause: the grants that are due for a server wait in a queue, which a few fibers send. A grant was sent though its token had become stale since it was queued, because an earlier call of the same queue had found the server restarting, and though the map had been loaded again, or a higher token committed.

Change: GrantScheduler::PermitGrant() is asked before each grant; one of another load of the map, or with another token than the map's, or with a stale token is not sent.

--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -244,6 +244,12 @@
   return commands;
 }
 
+auto GrantScheduler::PermitGrant(const KeyCommand& command) const -> bool {
+  return command.epoch == this->epoch &&
+         command.token == this->map.TokenOf(command.stripe) &&
+         !this->stripes[command.stripe].is_token_stale;
+}
+
 auto GrantScheduler::OnGrantReply(const KeyCommand& command, GrantReply reply)
     -> void {
   if (command.epoch != this->epoch) return;
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -94,6 +94,10 @@
   /// @return the commands that are due. For each one, exactly one of
   ///   OnGrantReply(), OnReleaseReply() and OnNotSent() has to be called.
   auto TakeDueCommands() -> std::vector<KeyCommand>;
+  /// Call immediately before a grant is sent, which may be some time after it
+  /// was due.
+  /// @return false if the grant must not be sent any more.
+  [[nodiscard]] auto PermitGrant(const KeyCommand& command) const -> bool;
   auto OnGrantReply(const KeyCommand& command, GrantReply reply) -> void;
   auto OnReleaseReply(const KeyCommand& command, const ReleaseReply& reply)
       -> void;
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -218,6 +218,10 @@
 
 auto KeyCoordinator::CallGrant(CallQueue& queue, const KeyCommand& command,
                                GrantScheduler& scheduler) -> void {
+  if (!scheduler.PermitGrant(command)) {
+    scheduler.OnNotSent(command);
+    return;
+  }
   const auto reply = this->grant_client.Grant(
       command.owner, scheduler.Map().KeysOf(command.stripe), command.token,
       ToMillis(command.ttl), command.handover,
