Renew a token only over connections that lead to the process that has it

What callers and operators can see: a server that ends and is back at its address within half a second gets keys under the token of its former process (OWNER: "key went to one server with fence 1; another one had it with fence 1"). Most servers come back under another id, so that two servers hold one token.

Cause: a grant is sent to an address. That the owner's process still listens there was concluded from the age of its last response (up to 0.9 s) and from refused connections. A connection pool replaces a broken connection silently, so the next renewal reached whichever process had started meanwhile, with the token that was committed for the former one. Class: an address used as the identity of a process.

Change: calls to a process form a session. A connection that was established before a call which the process has responded to leads to that process for as long as it is open, so a used token is sent only over such connections, by their numbers. If none is open, the session ends, and its tokens are raised by a commit before the next grant. The first call of a session is sent alone.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -4,6 +4,7 @@
 /// Public header of the core library: the types that all other libraries use.
 
 #include "core/clock.h"
+#include "core/connection_number.h"
 #include "core/error.h"
 #include "core/id.h"
 #include "core/lease_timing.h"
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -42,6 +42,27 @@
 constexpr int kKeepAliveProbeSeconds = 1;
 constexpr int kMaxLostProbes = 2;
 
+auto ThreadNewestNumber() -> ConnectionNumber& {
+  thread_local ConnectionNumber newest = 0;
+  return newest;
+}
+
+/// Returns the remaining part of a timeout that began when it was constructed,
+/// but at least 1 ms.
+class RemainingTime {
+ public:
+  explicit RemainingTime(std::chrono::milliseconds timeout)
+      : deadline(std::chrono::steady_clock::now() + timeout) {}
+  auto operator()() const -> std::chrono::milliseconds {
+    const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->deadline - std::chrono::steady_clock::now());
+    return std::max(duration, std::chrono::milliseconds(1));
+  }
+
+ private:
+  std::chrono::steady_clock::time_point deadline;
+};
+
 }  // namespace
 
 struct HttpConnection::ParserState {
@@ -74,6 +95,11 @@
   boost::system::error_code ignored;
   this->stream.socket().set_option(tcp::no_delay(true), ignored);
   this->connected = true;
+  this->number = ++ThreadNewestNumber();
+}
+
+auto HttpConnection::NewestNumber() -> ConnectionNumber {
+  return ThreadNewestNumber();
 }
 
 auto HttpConnection::Exchange(const HttpRequest& request,
@@ -218,19 +244,59 @@
   return connection;
 }
 
+auto ConnectionPool::AcquireIdle(const std::string& address, std::uint16_t port,
+                                 ConnectionNumber max_number)
+    -> std::unique_ptr<HttpConnection> {
+  auto& connections = this->idle_connections[{address, port}];
+  const auto now = std::chrono::steady_clock::now();
+  for (auto it = connections.begin(); it != connections.end();) {
+    if (now >= it->expires_at || it->connection->IsStale()) {
+      it = connections.erase(it);
+      continue;
+    }
+    if (it->connection->Number() <= max_number) {
+      auto connection = std::move(it->connection);
+      connections.erase(it);
+      return connection;
+    }
+    ++it;
+  }
+  return nullptr;
+}
+
+auto ConnectionPool::OpenIdle(const std::string& address, std::uint16_t port,
+                              std::chrono::milliseconds timeout) -> void {
+  auto connection = std::make_unique<HttpConnection>(address, port);
+  connection->Connect(timeout);
+  connection->EnableTcpKeepAlive();
+  this->RegisterCleanup();
+  this->idle_connections[{address, port}].push_back(
+      {std::move(connection),
+       std::chrono::steady_clock::now() + kDefaultIdleTimeout});
+}
+
+auto ConnectionPool::IdleCount(const std::string& address,
+                               std::uint16_t port) const -> std::size_t {
+  const auto it = this->idle_connections.find({address, port});
+  return it == this->idle_connections.end() ? 0 : it->second.size();
+}
+
+auto ConnectionPool::RegisterCleanup() -> void {
+  if (this->is_cleanup_registered) return;
+  // Idle connections must be destroyed before the loop whose I/O context they
+  // use.
+  FiberLoop::Current().AddCleanup([this] {
+    this->idle_connections.clear();
+    this->is_cleanup_registered = false;
+  });
+  this->is_cleanup_registered = true;
+}
+
 auto ConnectionPool::Release(const std::string& address, std::uint16_t port,
                              std::unique_ptr<HttpConnection> connection)
     -> void {
   if (!connection->IsReusable()) return;
-  if (!this->is_cleanup_registered) {
-    // Idle connections must be destroyed before the loop whose I/O context
-    // they use.
-    FiberLoop::Current().AddCleanup([this] {
-      this->idle_connections.clear();
-      this->is_cleanup_registered = false;
-    });
-    this->is_cleanup_registered = true;
-  }
+  this->RegisterCleanup();
   auto& connections = this->idle_connections[{address, port}];
   if (connections.size() >= kMaxIdlePerEndpoint) return;
   const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -239,20 +305,15 @@
       {std::move(connection), std::chrono::steady_clock::now() + lifetime});
 }
 
-auto Fetch(const std::string& address, std::uint16_t port, HttpRequest request,
-           std::chrono::milliseconds timeout) -> HttpResponse {
-  const auto deadline = std::chrono::steady_clock::now() + timeout;
-  const auto remaining = [deadline] {
-    const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(
-        deadline - std::chrono::steady_clock::now());
-    return std::max(duration, std::chrono::milliseconds(1));
-  };
-  auto& pool = ConnectionPool::Current();
+auto FetchOver(ConnectionPool& pool, std::unique_ptr<HttpConnection> connection,
+               HttpRequest request, std::chrono::milliseconds timeout)
+    -> HttpResponse {
+  const RemainingTime remaining(timeout);
+  const auto address = connection->Address();
+  const auto port = connection->Port();
   request.version(11);
   request.set(http::field::host, address + ":" + std::to_string(port));
   request.prepare_payload();
-  auto connection = pool.Acquire(address, port,
-                                 std::min(timeout, kFetchConnectTimeout), true);
   HttpResponse response;
   response.base() = connection->Exchange(request, remaining());
   while (true) {
@@ -264,4 +325,14 @@
   return response;
 }
 
+auto Fetch(const std::string& address, std::uint16_t port, HttpRequest request,
+           std::chrono::milliseconds timeout) -> HttpResponse {
+  const RemainingTime remaining(timeout);
+  auto& pool = ConnectionPool::Current();
+  auto connection = pool.Acquire(address, port,
+                                 std::min(timeout, kFetchConnectTimeout), true);
+  return FetchOver(pool, std::move(connection), std::move(request),
+                   remaining());
+}
+
 }  // namespace currantbeam
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -47,6 +47,10 @@
   /// Enables TCP keepalive, so that a peer that disappeared without closing the
   /// connection is detected while the connection is idle.
   auto EnableTcpKeepAlive() -> void;
+  /// @return the connection's number; 0 before it is established.
+  [[nodiscard]] auto Number() const -> ConnectionNumber { return this->number; }
+  /// @return the number of the thread's newest connection.
+  static auto NewestNumber() -> ConnectionNumber;
   [[nodiscard]] auto Head() const -> const http::response_header<>& override;
   [[nodiscard]] auto BodyLength() const
       -> std::optional<std::uint64_t> override;
@@ -63,6 +67,10 @@
   /// @return how long the peer keeps an idle connection open, from the
   /// Keep-Alive field of the last response; 5 s if the field is absent.
   [[nodiscard]] auto IdleTimeout() const -> std::chrono::milliseconds;
+  [[nodiscard]] auto Address() const -> const std::string& {
+    return this->address;
+  }
+  [[nodiscard]] auto Port() const -> std::uint16_t { return this->port; }
   /// Cancels the pending operation, which then fails with RequestError. May be
   /// called by another fiber of the same loop.
   auto Cancel() -> void;
@@ -75,10 +83,12 @@
   TcpStream stream;
   std::unique_ptr<ParserState> parser_state;
   bool connected = false;
+  ConnectionNumber number = 0;
 };
 
-/// The idle connections of one FiberLoop, by endpoint. Each thread has its own
-/// pool; a pool is not thread-safe.
+/// The idle connections of one FiberLoop, by endpoint. Each thread has a pool
+/// of its own that all requests share; others may be constructed. A pool is not
+/// thread-safe.
 class ConnectionPool {
  public:
   /// @return the calling thread's pool.
@@ -93,6 +103,18 @@
   auto Acquire(const std::string& address, std::uint16_t port,
                std::chrono::milliseconds timeout, bool tcp_keep_alive = false)
       -> std::unique_ptr<HttpConnection>;
+  /// @return the pool's connection that was idle for the longest time, among
+  ///   those with at most this number; null if there is none.
+  auto AcquireIdle(const std::string& address, std::uint16_t port,
+                   ConnectionNumber max_number)
+      -> std::unique_ptr<HttpConnection>;
+  /// Adds a new idle connection to the pool.
+  /// @throws RequestError with kNotRun if it cannot be established.
+  auto OpenIdle(const std::string& address, std::uint16_t port,
+                std::chrono::milliseconds timeout) -> void;
+  /// @return how many idle connections to the endpoint the pool has.
+  [[nodiscard]] auto IdleCount(const std::string& address,
+                               std::uint16_t port) const -> std::size_t;
   /// Returns the connection to the pool if it is reusable, else closes it.
   auto Release(const std::string& address, std::uint16_t port,
                std::unique_ptr<HttpConnection> connection) -> void;
@@ -103,10 +125,23 @@
     std::chrono::steady_clock::time_point expires_at;
   };
   using Endpoint = std::pair<std::string, std::uint16_t>;
+
+  /// Registers the clean-up of the idle connections at the end of their loop.
+  auto RegisterCleanup() -> void;
+
   std::map<Endpoint, std::deque<IdleConnection>> idle_connections;
   bool is_cleanup_registered = false;
 };
 
+/// Sends a request over an established connection and reads the whole response.
+/// The connection is returned to the pool afterwards, or closed after a
+/// failure.
+/// @param timeout  for the whole exchange.
+/// @throws RequestError which says whether the request may have run.
+auto FetchOver(ConnectionPool& pool, std::unique_ptr<HttpConnection> connection,
+               HttpRequest request, std::chrono::milliseconds timeout)
+    -> HttpResponse;
+
 /// Sends a request and reads the whole response, over a connection of the
 /// calling thread's pool. TCP keepalive is enabled on new connections.
 /// @param timeout  for the whole call, including connecting.
--- a/src/keys/grant_client.h
+++ b/src/keys/grant_client.h
@@ -1,21 +1,47 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "keys/owner_map.h"
 
 namespace currantbeam {
 
-/// The result of a grant call.
+/// A grant call to a server.
+struct GrantCall {
+  KeyOwner owner;
+  KeyRange keys;
+  FencingToken token = 0;
+  std::chrono::milliseconds ttl{0};  ///< Counted from the grant's arrival.
+  std::string handover;  ///< From the ReleaseReply of the last owner, or empty.
+  std::chrono::milliseconds timeout{0};
+  /// If set, the call is sent only over an open connection with at most this
+  /// number; else over any, or over a new one.
+  std::optional<ConnectionNumber> max_connection;
+};
+
+/// The outcome of a grant call.
 enum class GrantReply {
   kAccepted,
   kStaleToken,     ///< The server knows a higher token for one of the keys.
   kRejected,       ///< The server responded and did not accept it.
   kConnectFailed,  ///< The server cannot have received the grant.
+  kNoConnection,   ///< Not sent: no permitted connection is open and idle.
   kNoResponse,     ///< The server may have the grant, or get it later.
 };
 
+/// The result of a grant call.
+struct GrantResult {
+  // Implicit, as a result without a response is given by its outcome alone.
+  GrantResult(GrantReply reply, ConnectionNumber newest_connection = 0)
+      : reply(reply), newest_connection(newest_connection) {}
+
+  GrantReply reply;
+  /// The newest connection at the time when the call was sent.
+  ConnectionNumber newest_connection;
+};
+
 /// The result of a release call.
 struct ReleaseReply {
   /// The server has stopped all work on the keys. If false, it may still run
@@ -34,11 +60,8 @@
  public:
   virtual ~GrantClient() = default;
 
-  /// @param ttl  time to live of the grant, counted from its arrival.
-  /// @param handover  from the ReleaseReply of the last owner; may be empty.
-  virtual auto Grant(const KeyOwner& owner, KeyRange keys, FencingToken token,
-                     std::chrono::milliseconds ttl, const std::string& handover,
-                     std::chrono::milliseconds timeout) -> GrantReply = 0;
+  /// Grants the keys, or renews a grant with the same token.
+  virtual auto Grant(const GrantCall& call) -> GrantResult = 0;
   /// Asks the owner to stop all work on the keys and to give up its grant.
   virtual auto Release(const KeyOwner& owner, KeyRange keys, FencingToken token,
                        std::chrono::milliseconds timeout) -> ReleaseReply = 0;
--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -28,7 +28,7 @@
   this->version = version;
   this->stripes.assign(this->map.StripeCount(), Stripe());
   ++this->epoch;
-  this->last_response_at.clear();
+  this->sessions.clear();
   this->is_commit_pending = false;
   this->is_commit_due = false;
   this->paused_until = TimePoint{};
@@ -61,12 +61,12 @@
 }
 
 auto GrantScheduler::OnOwnerUnreachable(const KeyOwner& owner) -> void {
-  this->last_response_at.erase(owner.id);
+  if (this->FindSession(owner) != nullptr) this->sessions.erase(owner.id);
   for (int i = 0; i < this->map.StripeCount(); ++i) {
     const auto* stripe_owner = this->map.OwnerOf(i);
     if (stripe_owner == nullptr || !(*stripe_owner == owner)) continue;
     auto& stripe = this->stripes[i];
-    stripe.is_token_stale |= stripe.is_token_used;
+    stripe.is_token_stale |= stripe.session != 0;
     stripe.is_unreachable = true;
   }
 }
@@ -159,9 +159,9 @@
   std::vector<bool> needs_probe(this->servers.size());
   for (std::size_t i = 0; i < this->servers.size(); ++i) {
     const auto& owner = this->servers[i].owner;
-    const auto it = this->last_response_at.find(owner.id);
-    if (it == this->last_response_at.end()) continue;
-    const auto response_age = now - it->second;
+    const auto* session = this->FindSession(owner);
+    if (session == nullptr || !session->is_confirmed) continue;
+    const auto response_age = now - session->last_response_at;
     if (response_age > this->timing.max_response_age) {
       this->OnOwnerUnreachable(owner);
     } else if (response_age > this->timing.max_response_age / 2) {
@@ -186,8 +186,57 @@
   }
 }
 
-auto GrantScheduler::RecordResponse(const KeyOwner& owner) -> void {
-  this->last_response_at[owner.id] = this->clock.Now();
+auto GrantScheduler::FindSession(const KeyOwner& owner) -> Session* {
+  const auto it = this->sessions.find(owner.id);
+  const bool is_found = it != this->sessions.end() && it->second.owner == owner;
+  return is_found ? &it->second : nullptr;
+}
+
+auto GrantScheduler::BeginSession(const KeyOwner& owner) -> Session& {
+  auto& session = this->sessions[owner.id];
+  session = Session();
+  session.number = ++this->session_count;
+  session.owner = owner;
+  return session;
+}
+
+auto GrantScheduler::PermitGrant(KeyCommand& command) -> bool {
+  const bool is_current = command.epoch == this->epoch &&
+                          command.token == this->map.TokenOf(command.stripe);
+  if (!is_current) return false;
+  auto& stripe = this->stripes[command.stripe];
+  const auto* session = this->FindSession(command.owner);
+  const int number = session == nullptr ? 0 : session->number;
+  stripe.is_token_stale |= stripe.session != 0 && stripe.session != number;
+  if (stripe.is_token_stale) return false;
+  if (session == nullptr) session = &this->BeginSession(command.owner);
+  command.session = session->number;
+  command.max_connection.reset();
+  if (session->is_confirmed) command.max_connection = session->max_connection;
+  return true;
+}
+
+auto GrantScheduler::UpdateSession(const KeyCommand& command,
+                                   const GrantResult& result) -> void {
+  auto& stripe = this->stripes[command.stripe];
+  const bool is_current_token =
+      command.token == this->map.TokenOf(command.stripe);
+  if (is_current_token) stripe.session = command.session;
+  auto* session = this->FindSession(command.owner);
+  if (session == nullptr || session->number != command.session) {
+    stripe.is_token_stale |= is_current_token;
+    return;
+  }
+  if (result.reply != GrantReply::kNoResponse) {
+    session->is_confirmed = true;
+    session->max_connection =
+        std::max(session->max_connection, result.newest_connection);
+    session->last_response_at = this->clock.Now();
+  } else if (!session->is_confirmed) {
+    // Another process may respond to the next call.
+    this->sessions.erase(command.owner.id);
+    stripe.is_token_stale |= is_current_token;
+  }
 }
 
 auto GrantScheduler::Rebalance(TimePoint now) -> void {
@@ -217,9 +266,15 @@
   const bool is_grant = kind == KeyCommand::Kind::kGrant;
   const auto token =
       is_grant ? this->map.TokenOf(stripe) : this->map.LastToken() + 1;
-  return {kind,       stripe,         *this->map.OwnerOf(stripe),
-          token,      state.handover, this->GrantTtl(),
-          this->epoch};
+  return {kind,
+          stripe,
+          *this->map.OwnerOf(stripe),
+          token,
+          state.handover,
+          this->GrantTtl(),
+          this->epoch,
+          0,
+          std::nullopt};
 }
 
 auto GrantScheduler::TakeDueCommands() -> std::vector<KeyCommand> {
@@ -244,14 +299,8 @@
   return commands;
 }
 
-auto GrantScheduler::PermitGrant(const KeyCommand& command) const -> bool {
-  return command.epoch == this->epoch &&
-         command.token == this->map.TokenOf(command.stripe) &&
-         !this->stripes[command.stripe].is_token_stale;
-}
-
-auto GrantScheduler::OnGrantReply(const KeyCommand& command, GrantReply reply)
-    -> void {
+auto GrantScheduler::OnGrantReply(const KeyCommand& command,
+                                  const GrantResult& result) -> void {
   if (command.epoch != this->epoch) return;
   const auto now = this->clock.Now();
   auto& stripe = this->stripes[command.stripe];
@@ -260,16 +309,15 @@
   // The grant may have reached the server at any time up to now.
   stripe.held_until =
       std::max(stripe.held_until, this->LatestExpiry(now, command.ttl));
-  stripe.is_token_used = true;
   stripe.is_unreachable = false;
-  if (reply != GrantReply::kNoResponse) this->RecordResponse(command.owner);
-  if (reply == GrantReply::kAccepted) {
+  this->UpdateSession(command, result);
+  if (result.reply == GrantReply::kAccepted) {
     stripe.due_at =
         now + this->RenewalDelay(command.stripe, stripe.is_first_grant);
     stripe.is_first_grant = false;
     stripe.handover.clear();
   }
-  if (reply == GrantReply::kStaleToken) stripe.is_token_stale = true;
+  if (result.reply == GrantReply::kStaleToken) stripe.is_token_stale = true;
 }
 
 auto GrantScheduler::RenewalDelay(int stripe, bool is_first_grant) const
@@ -289,7 +337,6 @@
   stripe.is_in_flight = false;
   stripe.due_at = std::max(stripe.due_at, this->clock.Now() + kRetryDelay);
   if (!reply.is_released) return;
-  this->RecordResponse(command.owner);
   stripe.phase = Phase::kUnassigned;
   stripe.handover = reply.handover;
 }
@@ -368,7 +415,7 @@
     auto& stripe = this->stripes[i];
     stripe.phase = Phase::kAssigned;
     stripe.is_token_stale = false;
-    stripe.is_token_used = false;
+    stripe.session = 0;
     stripe.is_rebalancing = false;
     stripe.is_unreachable = false;
     stripe.is_first_grant = true;
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -43,6 +44,9 @@
   Duration ttl{0};  ///< Time to live of a grant; unused in a release.
   int epoch = 0;    ///< Counts loads of the map; replies to commands of an
                     ///< earlier one are ignored.
+  /// Set by GrantScheduler::PermitGrant().
+  int session = 0;
+  std::optional<ConnectionNumber> max_connection;
 };
 
 /// Decides which grants and releases are sent to the servers of one service,
@@ -94,11 +98,12 @@
   /// @return the commands that are due. For each one, exactly one of
   ///   OnGrantReply(), OnReleaseReply() and OnNotSent() has to be called.
   auto TakeDueCommands() -> std::vector<KeyCommand>;
-  /// Call immediately before a grant is sent, which may be some time after it
-  /// was due.
+  /// Call immediately before a grant is sent. Restricts the connections that it
+  /// may be sent over, so that a token never reaches two processes.
   /// @return false if the grant must not be sent any more.
-  [[nodiscard]] auto PermitGrant(const KeyCommand& command) const -> bool;
-  auto OnGrantReply(const KeyCommand& command, GrantReply reply) -> void;
+  auto PermitGrant(KeyCommand& command) -> bool;
+  auto OnGrantReply(const KeyCommand& command, const GrantResult& result)
+      -> void;
   auto OnReleaseReply(const KeyCommand& command, const ReleaseReply& reply)
       -> void;
   /// Call when the command cannot have reached the owner.
@@ -131,7 +136,8 @@
     bool is_in_flight = false;
     bool is_first_grant = true;   ///< No grant was accepted under its token.
     bool is_token_stale = false;  ///< A higher token has to be committed.
-    bool is_token_used = false;   ///< A server may have seen the token.
+    /// The session in which a server may have received the token; 0 if none.
+    int session = 0;
     /// No grant reply was recorded since the owner became unreachable.
     bool is_unreachable = false;
     bool is_rebalancing = false;  ///< It leaves an eligible owner.
@@ -140,6 +146,25 @@
     std::string handover;
   };
 
+  /// A time in which all grants to an owner reach the same process. Connections
+  /// that are older than a call which the process has responded to lead to it
+  /// as long as they are open.
+  struct Session {
+    int number = 0;  ///< Unique.
+    KeyOwner owner;
+    /// The process has responded. Until then, any connection may be used for
+    /// one grant at a time.
+    bool is_confirmed = false;
+    ConnectionNumber max_connection = 0;  ///< Of those that lead to it.
+    TimePoint last_response_at{};
+  };
+
+  /// @return the owner's session; null if there is none.
+  auto FindSession(const KeyOwner& owner) -> Session*;
+  auto BeginSession(const KeyOwner& owner) -> Session&;
+  /// Applies the reply to a grant that may have reached the owner.
+  auto UpdateSession(const KeyCommand& command, const GrantResult& result)
+      -> void;
   /// @return the latest time at which a grant sent at the given time expires.
   [[nodiscard]] auto LatestExpiry(TimePoint sent_at, Duration ttl) const
       -> TimePoint;
@@ -165,7 +190,6 @@
   /// respond.
   /// @param needs_probe  by index among the servers.
   auto ProbeServers(std::vector<bool> needs_probe, TimePoint now) -> void;
-  auto RecordResponse(const KeyOwner& owner) -> void;
   [[nodiscard]] auto UnassignedStripes() const -> std::vector<bool>;
   [[nodiscard]] auto Placement() const -> PlacementState {
     return {this->map, this->UnassignedStripes(), this->servers, this->loads};
@@ -180,8 +204,8 @@
   std::vector<EligibleServer> servers;
   std::vector<double> loads;
   std::vector<Stripe> stripes;
-  /// Time of each server's last response; without servers that are unreachable.
-  std::unordered_map<ServerId, TimePoint> last_response_at;
+  std::unordered_map<ServerId, Session> sessions;
+  int session_count = 0;
   TimePoint rebalanced_at{};
   TimePoint committed_at{};
   TimePoint unassigned_since{};
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -188,52 +188,76 @@
                               const KeyCommand& command) -> void {
   auto& queue = this->queues[QueueKey(command.owner)];
   queue.calls.push_back({&service, command});
-  if (queue.fibers >= kMaxCallsPerServer) return;
-  ++queue.fibers;
-  FiberLoop::Current().Spawn([this, &queue] { this->RunQueue(queue); });
+  this->StartFibers(queue);
+}
+
+auto KeyCoordinator::StartFibers(CallQueue& queue) -> void {
+  const auto waiting = static_cast<int>(queue.calls.size());
+  const int wanted = std::min(kMaxCallsPerServer, queue.fibers + waiting);
+  for (; queue.fibers < wanted; ++queue.fibers) {
+    FiberLoop::Current().Spawn([this, &queue] { this->RunQueue(queue); });
+  }
 }
 
 auto KeyCoordinator::RunQueue(CallQueue& queue) -> void {
   while (!queue.calls.empty()) {
     const auto call = queue.calls.front();
     queue.calls.pop_front();
-    this->Call(queue, call.command, call.service->Scheduler());
+    if (!this->Call(queue, call.command, call.service->Scheduler())) {
+      // The fiber of the grant in flight continues with the queue.
+      queue.calls.push_front(call);
+      break;
+    }
   }
   --queue.fibers;
 }
 
 auto KeyCoordinator::Call(CallQueue& queue, const KeyCommand& command,
-                          GrantScheduler& scheduler) -> void {
+                          GrantScheduler& scheduler) -> bool {
   const bool is_paused = this->clock.Now() < queue.paused_until;
   if (is_paused || this->stopped || !this->lease.IsHeld()) {
     scheduler.OnNotSent(command);
-    return;
+    return true;
   }
   if (command.kind == KeyCommand::Kind::kGrant) {
-    this->CallGrant(queue, command, scheduler);
-  } else {
-    this->CallRelease(queue, command, scheduler);
+    return this->CallGrant(queue, command, scheduler);
   }
+  this->CallRelease(queue, command, scheduler);
+  return true;
 }
 
-auto KeyCoordinator::CallGrant(CallQueue& queue, const KeyCommand& command,
-                               GrantScheduler& scheduler) -> void {
+auto KeyCoordinator::CallGrant(CallQueue& queue, KeyCommand command,
+                               GrantScheduler& scheduler) -> bool {
   if (!scheduler.PermitGrant(command)) {
     scheduler.OnNotSent(command);
-    return;
+    return true;
   }
-  const auto reply = this->grant_client.Grant(
-      command.owner, scheduler.Map().KeysOf(command.stripe), command.token,
-      ToMillis(command.ttl), command.handover,
-      ToMillis(this->timing.call_timeout));
-  const bool is_unreachable = reply == GrantReply::kConnectFailed;
-  this->RecordReply(queue, !is_unreachable && reply != GrantReply::kNoResponse);
+  // Any connection may be used for one grant at a time.
+  if (!command.max_connection && queue.grants_in_flight != 0) return false;
+  ++queue.grants_in_flight;
+  const auto result = this->grant_client.Grant(
+      {command.owner, scheduler.Map().KeysOf(command.stripe), command.token,
+       ToMillis(command.ttl), command.handover,
+       ToMillis(this->timing.call_timeout), command.max_connection});
+  --queue.grants_in_flight;
+  if (result.reply == GrantReply::kNoConnection) {
+    if (queue.grants_in_flight != 0) return false;
+    scheduler.OnOwnerUnreachable(command.owner);
+    scheduler.OnNotSent(command);
+    return true;
+  }
+  const bool is_unreachable = result.reply == GrantReply::kConnectFailed;
+  this->RecordReply(queue,
+                    !is_unreachable && result.reply != GrantReply::kNoResponse);
   if (is_unreachable) {
     scheduler.OnOwnerUnreachable(command.owner);
     scheduler.OnNotSent(command);
   } else {
-    scheduler.OnGrantReply(command, reply);
+    scheduler.OnGrantReply(command, result);
   }
+  // Calls that waited for this one may be permitted now.
+  this->StartFibers(queue);
+  return true;
 }
 
 auto KeyCoordinator::CallRelease(CallQueue& queue, const KeyCommand& command,
--- a/src/keys/key_coordinator.h
+++ b/src/keys/key_coordinator.h
@@ -74,6 +74,7 @@
     };
     std::deque<Call> calls;
     int fibers = 0;
+    int grants_in_flight = 0;
     TimePoint paused_until{};
     TimePoint first_failure_at{};  ///< Of the failures in a row.
     int failures_in_row = 0;
@@ -94,11 +95,15 @@
   [[nodiscard]] auto EligibleServersOf(const ServiceName& name) const
       -> std::vector<EligibleServer>;
   auto Dispatch(ServiceCoordinator& service, const KeyCommand& command) -> void;
+  /// Starts fibers for the calls that wait, up to the maximum per server.
+  auto StartFibers(CallQueue& queue) -> void;
   auto RunQueue(CallQueue& queue) -> void;
+  /// @return false if the call has to wait for a grant in flight.
   auto Call(CallQueue& queue, const KeyCommand& command,
-            GrantScheduler& scheduler) -> void;
-  auto CallGrant(CallQueue& queue, const KeyCommand& command,
-                 GrantScheduler& scheduler) -> void;
+            GrantScheduler& scheduler) -> bool;
+  /// @return false if the grant has to wait for another one in flight.
+  auto CallGrant(CallQueue& queue, KeyCommand command,
+                 GrantScheduler& scheduler) -> bool;
   auto CallRelease(CallQueue& queue, const KeyCommand& command,
                    GrantScheduler& scheduler) -> void;
   auto RecordReply(CallQueue& queue, bool has_responded) -> void;
--- a/tests/keys/key_coordinator_test.cc
+++ b/tests/keys/key_coordinator_test.cc
@@ -15,27 +15,26 @@
 
 const ServiceName kService("s");
 
-/// Servers that accept all grants. One of them can be restarted: the next call
-/// fails to connect, further ones reach the new process.
+/// Servers that accept all grants over one connection. One of them can be
+/// restarted, which closes the connection.
 class RestartingServers : public GrantClient {
  public:
-  auto Grant(const KeyOwner& /*owner*/, KeyRange keys, FencingToken token,
-             milliseconds /*ttl*/, const std::string& /*handover*/,
-             milliseconds /*timeout*/) -> GrantReply override {
-    if (this->is_starting) {
-      this->is_starting = false;
-      return GrantReply::kConnectFailed;
-    }
+  auto Grant(const GrantCall& call) -> GrantResult override {
+    // A new connection to a process has the number of that process.
     const int process = this->process;
+    const bool is_permitted =
+        !call.max_connection ||
+        *call.max_connection >= static_cast<ConnectionNumber>(process);
+    if (!is_permitted) return GrantReply::kNoConnection;
     SleepFor(milliseconds(1));
     if (process != this->process) return GrantReply::kNoResponse;
-    auto& last = this->accepted[keys.first];
+    auto& last = this->accepted[call.keys.first];
     const bool is_other_process = last.process != process;
     this->has_reused_token |=
-        is_other_process && last.process != 0 && token <= last.token;
-    last = {process, token};
+        is_other_process && last.process != 0 && call.token <= last.token;
+    last = {process, call.token};
     ++this->grants_to_process;
-    return GrantReply::kAccepted;
+    return {GrantReply::kAccepted, static_cast<ConnectionNumber>(process)};
   }
   auto Release(const KeyOwner& /*owner*/, KeyRange /*keys*/,
                FencingToken /*token*/, milliseconds /*timeout*/)
@@ -44,7 +43,6 @@
   }
   auto Restart() -> void {
     ++this->process;
-    this->is_starting = true;
     this->grants_to_process = 0;
   }
 
@@ -58,7 +56,6 @@
   };
 
   int process = 1;
-  bool is_starting = false;
   std::map<int, Acceptance> accepted;  ///< The last one, by first key.
 };
 
--- a/tests/keys/owner_fuzz_test.cc
+++ b/tests/keys/owner_fuzz_test.cc
@@ -177,6 +177,25 @@
   }
 }
 
+// A server that restarts faster than its silence is noticed must not get its
+// keys under the token of its former process.
+TEST(OwnershipSimulation, AServerThatRestartsAtOnceGetsAHigherToken) {
+  constexpr int kFirstCrashStep = 100;
+  constexpr int kCrashSteps = 12;
+  constexpr int kMaxDownSteps = 16;
+  for (int down = OwnershipSimulation::kMinDownSteps; down <= kMaxDownSteps;
+       ++down) {
+    for (int offset = 0; offset < kCrashSteps; ++offset) {
+      const std::vector<OwnerFault> faults = {{OwnerFault::Kind::kServerCrash,
+                                               offset, kFirstCrashStep + offset,
+                                               down}};
+      OwnershipSimulation simulation(static_cast<unsigned>(offset + 1));
+      simulation.Run(faults, kFirstCrashStep + kCrashSteps + kMaxRecoverySteps);
+      EXPECT_EQ(simulation.Violation(), "") << Describe(faults);
+    }
+  }
+}
+
 TEST(OwnershipSimulation, ServesAllKeysSoonAfterTheStart) {
   OwnershipSimulation simulation(1);
   // The first owners are chosen after the servers were stable for 1 s.
--- a/tests/keys/ownership_simulation.cc
+++ b/tests/keys/ownership_simulation.cc
@@ -1,6 +1,7 @@
 #include "keys/ownership_simulation.h"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <set>
 
@@ -10,6 +11,10 @@
 constexpr double kClockDriftFactor = 1.02;
 /// Probability that calls to servers are made during a call to the store.
 constexpr double kInterleavingProbability = 0.5;
+/// Probabilities that a host opens another connection to a server, and that the
+/// server closes one, in a step.
+constexpr double kOpenProbability = 0.05;
+constexpr double kCloseProbability = 0.02;
 /// Renews grants so often that each server is called several times a second, as
 /// it is with many stripes.
 auto SimulationTiming() -> GrantTiming {
@@ -96,9 +101,18 @@
   HostStore store;
   CoordinatorLease lease;
   ServiceCoordinator service;
+  auto Open(int server, std::chrono::milliseconds server_started)
+      -> Connection {
+    this->connections[server].push_back(
+        {++this->newest_connection, server_started});
+    return this->connections[server].back();
+  }
+
   TimePoint lease_due{};
   bool is_frozen = false;
   int incarnation = 0;
+  std::array<std::deque<Connection>, kServers> connections;
+  ConnectionNumber newest_connection = 0;
 };
 
 OwnershipSimulation::OwnershipSimulation(unsigned seed)
@@ -266,6 +280,7 @@
     host.service.Scheduler().OnAddressReused(entry.address, entry.port,
                                              entry.started);
   }
+  this->UpdateConnections(host);
   const auto commands = host.service.TakeDueCommands(eligible);
   for (const auto& command : commands) this->Send(index, command);
 }
@@ -278,19 +293,72 @@
   this->CallServers(index);
 }
 
-auto OwnershipSimulation::Send(int host, const KeyCommand& command) -> void {
-  Call call;
-  call.host = host;
-  call.incarnation = this->hosts[host]->incarnation;
-  call.command = command;
+auto OwnershipSimulation::UpdateConnections(Host& host) -> void {
+  for (int i = 0; i < kServers; ++i) {
+    const auto& server = this->servers[i];
+    auto& connections = host.connections[i];
+    // The end of a process is not noticed while its server does not respond.
+    if (server.is_unresponsive) continue;
+    const auto has_ended = [&server](const Connection& connection) {
+      return !server.is_up || connection.server_started != server.owner.started;
+    };
+    connections.erase(
+        std::remove_if(connections.begin(), connections.end(), has_ended),
+        connections.end());
+    if (!connections.empty() && this->RandomBool(kCloseProbability)) {
+      connections.pop_front();
+    }
+    if (server.is_up && this->RandomBool(kOpenProbability)) {
+      host.Open(i, server.owner.started);
+    }
+  }
+}
+
+auto OwnershipSimulation::ChooseConnection(Host& host, const Server& server,
+                                           const KeyCommand& command)
+    -> std::optional<Connection> {
+  const auto index = &server - this->servers.data();
+  for (const auto& connection : host.connections[index]) {
+    const bool is_permitted =
+        !command.max_connection || connection.number <= *command.max_connection;
+    if (is_permitted) return connection;
+  }
+  if (command.max_connection || !server.is_up || server.is_unresponsive) {
+    return std::nullopt;
+  }
+  return host.Open(static_cast<int>(index), server.owner.started);
+}
+
+auto OwnershipSimulation::Send(int host, KeyCommand command) -> void {
+  auto& sender = *this->hosts[host];
+  auto& scheduler = sender.service.Scheduler();
   const auto* server = this->ServerOf(command.owner);
-  if (!server->is_up) {
-    // The connection is refused, as the server is down.
-    this->hosts[host]->service.Scheduler().OnOwnerUnreachable(command.owner);
-    this->hosts[host]->service.Scheduler().OnNotSent(command);
+  const bool is_grant = command.kind == KeyCommand::Kind::kGrant;
+  if (is_grant && !scheduler.PermitGrant(command)) {
+    scheduler.OnNotSent(command);
+    return;
+  }
+  const bool has_grant_in_flight = std::any_of(
+      this->calls.begin(), this->calls.end(), [&](const Call& call) {
+        return call.host == host && call.command.owner == command.owner &&
+               call.command.kind == KeyCommand::Kind::kGrant;
+      });
+  if (is_grant && !command.max_connection && has_grant_in_flight) {
+    scheduler.OnNotSent(command);
     return;
   }
-  call.server_started = server->owner.started;
+  const auto connection = this->ChooseConnection(sender, *server, command);
+  if (!connection) {
+    scheduler.OnOwnerUnreachable(command.owner);
+    scheduler.OnNotSent(command);
+    return;
+  }
+  Call call;
+  call.host = host;
+  call.incarnation = sender.incarnation;
+  call.command = command;
+  call.newest_connection = sender.newest_connection;
+  call.server_started = connection->server_started;
   call.arrives_at =
       this->clock.Now() + (this->RandomBool(0.2) ? kCallTimeout : kStep);
   call.executed_at = call.arrives_at;
@@ -385,7 +453,8 @@
     return;
   }
   if (call.command.kind == KeyCommand::Kind::kGrant) {
-    host.service.Scheduler().OnGrantReply(call.command, grant);
+    host.service.Scheduler().OnGrantReply(call.command,
+                                          {grant, call.newest_connection});
   } else {
     host.service.Scheduler().OnReleaseReply(call.command, release);
   }
--- a/tests/keys/ownership_simulation.h
+++ b/tests/keys/ownership_simulation.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -52,8 +53,8 @@
   static constexpr int kRegistrationLagSteps = 25;
   /// From a server's end until its registration expires.
   static constexpr int kRegistrationExpirySteps = 50;
-  /// A server that ends stays down for at least 1 s.
-  static constexpr int kMinDownSteps = 20;
+  /// A server that ends stays down for at least 100 ms.
+  static constexpr int kMinDownSteps = 2;
   static constexpr int kHosts = 3;
 
   explicit OwnershipSimulation(unsigned seed);
@@ -85,10 +86,16 @@
     bool is_registered = true;
     std::vector<ServerGrant> grants{kStripes};
   };
+  /// A connection of a host to a server. It leads to one process of the server.
+  struct Connection {
+    ConnectionNumber number = 0;
+    std::chrono::milliseconds server_started{0};
+  };
   struct Call {
     int host = 0;
     int incarnation = 0;  ///< Of the host.
     KeyCommand command;
+    ConnectionNumber newest_connection = 0;  ///< When it was sent.
     std::chrono::milliseconds server_started{
         0};  ///< Of the process that the call was sent to.
     TimePoint arrives_at{};
@@ -104,7 +111,14 @@
   auto CallServers(int index) -> void;
   /// Delivers and sends calls to servers while the host waits for the store.
   auto RunDuringStoreCall(int index) -> void;
-  auto Send(int host, const KeyCommand& command) -> void;
+  auto Send(int host, KeyCommand command) -> void;
+  /// @return the connection that a call is sent over, which is new if the call
+  ///   permits that and none is open.
+  auto ChooseConnection(Host& host, const Server& server,
+                        const KeyCommand& command) -> std::optional<Connection>;
+  /// Opens and closes connections, as a host does for its other calls, and
+  /// closes those whose server process has ended.
+  auto UpdateConnections(Host& host) -> void;
   auto DeliverCalls() -> void;
   auto Execute(const Call& call, Server& server) -> void;
   auto Reply(const Call& call, GrantReply grant, const ReleaseReply& release)
--- a/tests/keys/replaced_owner_test.cc
+++ b/tests/keys/replaced_owner_test.cc
@@ -18,7 +18,7 @@
     this->scheduler.SetServers(this->servers, {});
     this->CommitChange();
     for (const auto& command : this->scheduler.TakeDueCommands()) {
-      this->scheduler.OnGrantReply(command, GrantReply::kAccepted);
+      ReplyToGrant(this->scheduler, command, GrantReply::kAccepted);
     }
   }
 
--- a/tests/keys/test_servers.h
+++ b/tests/keys/test_servers.h
@@ -22,4 +22,14 @@
   return servers;
 }
 
+/// Sends the grant and gets the reply at once.
+inline auto ReplyToGrant(GrantScheduler& scheduler, KeyCommand command,
+                         GrantReply reply) -> void {
+  if (scheduler.PermitGrant(command)) {
+    scheduler.OnGrantReply(command, {reply, 1});
+  } else {
+    scheduler.OnNotSent(command);
+  }
+}
+
 }  // namespace currantbeam
