Name the owner in grants and releases

What callers can see: requests for some keys are refused for seconds after a server took over the address of one that ended.

Change: grants and releases name the owner, and another server refuses them. The owner has then ended, and its grants with it, so its keys get other owners at the next commit, without waiting for its entry or for the expiry of the grants.

Evidence: Forwarding.GrantsNoKeysToAServerThatHasTheAddressOfAnEndedOne fails without the header (no answer for some keys within 10 s).

--- a/src/keys/grant_client.h
+++ b/src/keys/grant_client.h
@@ -27,19 +27,16 @@
   kStaleToken,     ///< The server knows a higher token for one of the keys.
   kRejected,       ///< The server responded and did not accept it.
   kConnectFailed,  ///< The server cannot have received the grant.
+  kOtherServer,    ///< Another server responded, so the owner has ended.
   kNoConnection,   ///< Not sent: no permitted connection is open and idle.
   kNoResponse,     ///< The server may have the grant, or get it later.
 };
 
 /// The result of a grant call.
 struct GrantResult {
-  // Implicit, as a result without a response is given by its outcome alone.
-  GrantResult(GrantReply reply, ConnectionNumber newest_connection = 0)
-      : reply(reply), newest_connection(newest_connection) {}
-
-  GrantReply reply;
+  GrantReply reply = GrantReply::kNoConnection;
   /// The newest connection at the time when the call was sent.
-  ConnectionNumber newest_connection;
+  ConnectionNumber newest_connection = 0;
 };
 
 /// The result of a release call.
@@ -52,6 +49,8 @@
   /// Opaque state for the next owner, which spares it a cold start; may be
   /// empty.
   std::string handover;
+  /// Another server responded at the owner's address, so the owner has ended.
+  bool is_other_server = false;
 };
 
 /// Sends grants and releases of keys to backend servers. The methods block the
--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -71,6 +71,15 @@
   }
 }
 
+auto GrantScheduler::OnOwnerReplaced(const KeyOwner& owner) -> void {
+  this->OnOwnerUnreachable(owner);
+  for (int i = 0; i < this->map.StripeCount(); ++i) {
+    const auto* stripe_owner = this->map.OwnerOf(i);
+    if (stripe_owner == nullptr || !(*stripe_owner == owner)) continue;
+    this->stripes[i].held_until = TimePoint{};
+  }
+}
+
 auto GrantScheduler::LatestExpiry(TimePoint sent_at, Duration ttl) const
     -> TimePoint {
   const auto drifted_ttl = Duration(static_cast<std::int64_t>(
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -85,6 +85,10 @@
   auto OnAddressReused(const std::string& address, std::uint16_t port,
                        std::chrono::milliseconds started) -> void;
 
+  /// Call when another server responds at the owner's address: the owner has
+  /// ended, and so have its grants. Call before the On method for the command
+  /// that it responded to.
+  auto OnOwnerReplaced(const KeyOwner& owner) -> void;
   /// Call when the owner refuses connections or does not respond. It may have
   /// restarted without its grants before its registration shows that, so its
   /// stripes are granted under a higher token from now on. Call before the On
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -215,7 +215,8 @@
 auto KeyCoordinator::Call(CallQueue& queue, const KeyCommand& command,
                           GrantScheduler& scheduler) -> bool {
   const bool is_paused = this->clock.Now() < queue.paused_until;
-  if (is_paused || this->stopped || !this->lease.IsHeld()) {
+  const bool has_ended = queue.replaced == command.owner;
+  if (is_paused || has_ended || this->stopped || !this->lease.IsHeld()) {
     scheduler.OnNotSent(command);
     return true;
   }
@@ -246,6 +247,11 @@
     scheduler.OnNotSent(command);
     return true;
   }
+  if (result.reply == GrantReply::kOtherServer) {
+    this->OnOwnerReplaced(scheduler, command);
+    this->StartFibers(queue);
+    return true;
+  }
   const bool is_unreachable = result.reply == GrantReply::kConnectFailed;
   this->RecordReply(queue,
                     !is_unreachable && result.reply != GrantReply::kNoResponse);
@@ -265,6 +271,10 @@
   const auto reply = this->grant_client.Release(
       command.owner, scheduler.Map().KeysOf(command.stripe), command.token,
       ToMillis(this->timing.release_timeout));
+  if (reply.is_other_server) {
+    this->OnOwnerReplaced(scheduler, command);
+    return;
+  }
   this->RecordReply(queue, reply.is_released);
   if (reply.has_connect_failed) {
     scheduler.OnOwnerUnreachable(command.owner);
@@ -286,9 +296,18 @@
   }
 }
 
+auto KeyCoordinator::OnOwnerReplaced(GrantScheduler& scheduler,
+                                     const KeyCommand& command) -> void {
+  this->queues[QueueKey(command.owner)].replaced = command.owner;
+  scheduler.OnOwnerReplaced(command.owner);
+  scheduler.OnNotSent(command);
+}
+
 auto KeyCoordinator::IsUnreachable(const KeyOwner& owner) const -> bool {
   const auto it = this->queues.find(QueueKey(owner));
-  if (it == this->queues.end() || it->second.failures_in_row == 0) return false;
+  if (it == this->queues.end()) return false;
+  if (it->second.replaced == owner) return true;
+  if (it->second.failures_in_row == 0) return false;
   return this->clock.Now() - it->second.first_failure_at > kUnreachableTimeout;
 }
 
--- a/src/keys/key_coordinator.h
+++ b/src/keys/key_coordinator.h
@@ -78,6 +78,8 @@
     TimePoint paused_until{};
     TimePoint first_failure_at{};  ///< Of the failures in a row.
     int failures_in_row = 0;
+    /// The last owner with this address that was found to have ended.
+    KeyOwner replaced;
   };
 
   auto RunLease() -> void;
@@ -107,7 +109,11 @@
   auto CallRelease(CallQueue& queue, const KeyCommand& command,
                    GrantScheduler& scheduler) -> void;
   auto RecordReply(CallQueue& queue, bool has_responded) -> void;
-  /// @return whether calls to the owner's address have failed for too long.
+  /// Another server responded to a command at the owner's address.
+  auto OnOwnerReplaced(GrantScheduler& scheduler, const KeyCommand& command)
+      -> void;
+  /// @return whether calls to the owner's address have failed for too long, or
+  ///   another server has responded to one.
   [[nodiscard]] auto IsUnreachable(const KeyOwner& owner) const -> bool;
   static auto QueueKey(const KeyOwner& owner) -> std::string;
 
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -56,6 +56,10 @@
 
 auto WireBackend::HandleGrantOrRelease(HttpExchange& exchange, bool is_release)
     -> void {
+  if (!this->IsExpected(exchange.Request())) {
+    this->SendNotExecuted(exchange, http::status::misdirected_request);
+    return;
+  }
   const auto json = nlohmann::json::parse(exchange.Request().body());
   const auto token = json.at("fence").get<std::uint64_t>();
   const int first = json.at("from").get<int>();
@@ -92,9 +96,13 @@
   exchange.Send(std::move(response));
 }
 
-auto WireBackend::MayRun(const HttpRequest& request) const -> bool {
+auto WireBackend::IsExpected(const HttpRequest& request) const -> bool {
   const auto expected = Header(request, "X-Expect-Instance");
-  if (!expected.empty() && expected != this->id) return false;
+  return expected.empty() || expected == this->id;
+}
+
+auto WireBackend::MayRun(const HttpRequest& request) const -> bool {
+  if (!this->IsExpected(request)) return false;
   if (!this->behaviour.is_keyed) return true;
   const auto key =
       std::strtol(Header(request, "X-Shard-Key").c_str(), nullptr, 10);
--- a/src/standins/wire/wire_backend.h
+++ b/src/standins/wire/wire_backend.h
@@ -100,6 +100,8 @@
       -> void;
   auto SendResponse(HttpExchange& exchange, const std::string& request_id)
       -> void;
+  /// @return false if the request expects another server.
+  [[nodiscard]] auto IsExpected(const HttpRequest& request) const -> bool;
   [[nodiscard]] auto MayRun(const HttpRequest& request) const -> bool;
   auto SendNotExecuted(HttpExchange& exchange, http::status status) const
       -> void;
--- a/tests/keys/key_coordinator_test.cc
+++ b/tests/keys/key_coordinator_test.cc
@@ -25,9 +25,9 @@
     const bool is_permitted =
         !call.max_connection ||
         *call.max_connection >= static_cast<ConnectionNumber>(process);
-    if (!is_permitted) return GrantReply::kNoConnection;
+    if (!is_permitted) return {GrantReply::kNoConnection};
     SleepFor(milliseconds(1));
-    if (process != this->process) return GrantReply::kNoResponse;
+    if (process != this->process) return {GrantReply::kNoResponse};
     auto& last = this->accepted[call.keys.first];
     const bool is_other_process = last.process != process;
     this->has_reused_token |=
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -264,6 +264,19 @@
   });
 }
 
+TEST_F(Forwarding, GrantsNoKeysToAServerThatHasTheAddressOfAnEndedOne) {
+  this->fleet.Run([&] {
+    this->fleet.RegisterStaleEntry("i-ghost", "keyed", 2);
+    constexpr int kKeyStep = 2048;
+    for (int key = 0; key < kKeyCount; key += kKeyStep) {
+      EXPECT_TRUE(WireFleet::Await([&] {
+        return this->fleet.Send("/keyed/a", "id", http::verb::get, key)
+                   .result_int() == 200;
+      })) << key;
+    }
+  });
+}
+
 TEST_F(Forwarding, SkipsInvalidBackendEntries) {
   this->fleet.Run([&] {
     int number = 0;
