Reset connections that are closed before their response has been read

What callers and operators can see: a server holds keys, or runs a request, seconds after the sender has given the call up (OWNER, GONE).

Cause: a call that timed out closed its connection in order. The system then goes on sending what the peer has not acknowledged, so a grant that was sent into a network partition arrives when the partition ends, and its time to live counts from there, while the coordinator allows 400 ms for a call to arrive.

Change: a connection that is closed between a request and the end of its response is reset, which discards what was not delivered; an idle one is closed in order as before.

Evidence: ConnectionReset.ACallThatTimedOutIsNotDeliveredLater and AnAbandonedCallIsNotDeliveredLater fail without the change (the peer reads the end of the stream).

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -79,7 +79,12 @@
       stream(FiberLoop::Current().Io()),
       parser_state(std::make_unique<ParserState>()) {}
 
-HttpConnection::~HttpConnection() = default;
+HttpConnection::~HttpConnection() {
+  if (this->IsExchangePending()) return;
+  boost::system::error_code ignored;
+  this->stream.socket().set_option(asio::socket_base::linger(false, 0),
+                                   ignored);
+}
 
 auto HttpConnection::Connect(std::chrono::milliseconds timeout) -> void {
   const tcp::endpoint endpoint(asio::ip::make_address(this->address),
@@ -94,6 +99,9 @@
   }
   boost::system::error_code ignored;
   this->stream.socket().set_option(tcp::no_delay(true), ignored);
+  // A connection that is closed during an exchange is reset, because the system
+  // would otherwise deliver the request later, once a network partition ends.
+  this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
   this->connected = true;
   this->number = ++ThreadNewestNumber();
 }
@@ -111,6 +119,8 @@
 
 auto HttpConnection::Send(const HttpRequest& request,
                           std::chrono::milliseconds timeout) -> void {
+  this->has_sent_request = true;
+  this->parser_state->parser.reset();
   this->stream.expires_after(timeout);
   const auto written = Await(
       [&](auto handler) { http::async_write(this->stream, request, handler); });
@@ -203,6 +213,11 @@
   return value;
 }
 
+auto HttpConnection::IsExchangePending() const -> bool {
+  const auto& parser = this->parser_state->parser;
+  return this->has_sent_request && !(parser.has_value() && parser->is_done());
+}
+
 auto HttpConnection::IsReusable() const -> bool {
   if (!this->connected || !this->parser_state->parser.has_value()) return false;
   const auto& parser = *this->parser_state->parser;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -18,7 +18,8 @@
 
 /// The client side of one HTTP/1.1 connection, used from one fiber at a time.
 /// It sends each request once, without retries, and reads the response as a
-/// head followed by chunks of the body.
+/// head followed by chunks of the body. If it is closed before the response has
+/// been read, it is reset, so that the request isn't delivered any more.
 class HttpConnection : public ResponseReader {
  public:
   HttpConnection(std::string address, std::uint16_t port);
@@ -78,11 +79,15 @@
  private:
   struct ParserState;
 
+  /// @return true if a request was sent and its response not read completely.
+  [[nodiscard]] auto IsExchangePending() const -> bool;
+
   std::string address;
   std::uint16_t port;
   TcpStream stream;
   std::unique_ptr<ParserState> parser_state;
   bool connected = false;
+  bool has_sent_request = false;
   ConnectionNumber number = 0;
 };
 
