Keep grants that a later process of the same server may have accepted

What callers can see: two servers run requests for the same keys for seconds (OWNER).

Cause: an owner's stripes were freed at once when a later process was registered at its address and contact with the owner was lost. But grants that name the owner may have reached that later process, under a token that was raised after the first loss of contact, so it held the keys that others were given.

Change: only another server at the address ends the owner's grants, as it refuses those that name the owner. A later process of the same server releases them when asked, or they expire.

Evidence: ReplacedOwnerTest.GrantsHoldThatALaterProcessOfTheServerMayHave fails without the comparison of ids. The former test of a later process is that of a later server now.

--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -107,7 +107,7 @@
 }
 
 auto GrantScheduler::OnAddressReused(const std::string& address,
-                                     std::uint16_t port,
+                                     std::uint16_t port, const ServerId& id,
                                      std::chrono::milliseconds started)
     -> void {
   for (int i = 0; i < this->map.StripeCount(); ++i) {
@@ -117,11 +117,9 @@
         owner->address == address && owner->port == port;
     // The entry of a process that used the address before the owner may still
     // be listed.
-    const bool is_later_process = started > owner->started;
-    // A grant sent after contact was lost may have reached the new process, so
-    // its stripe keeps its expiry.
+    const bool is_later_server = owner->id != id && started > owner->started;
     auto& stripe = this->stripes[i];
-    if (is_same_address && is_later_process && stripe.is_unreachable) {
+    if (is_same_address && is_later_server && stripe.is_unreachable) {
       stripe.held_until = TimePoint{};
     }
   }
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -80,10 +80,13 @@
   /// @return the owners of stripes for which OnGrantReply() was not called
   ///   since OnOwnerUnreachable().
   [[nodiscard]] auto UnreachableOwners() const -> std::vector<KeyOwner>;
-  /// Call when a process is registered at an owner's address: an unreachable
-  /// owner that started earlier has then ended, and so have its grants.
+  /// Call when a server's process is registered at an owner's address. An
+  /// unreachable owner has then ended if it is another server's and started
+  /// earlier, and so have its grants. A later process of the same server may
+  /// have accepted them, so they keep their expiry.
   auto OnAddressReused(const std::string& address, std::uint16_t port,
-                       std::chrono::milliseconds started) -> void;
+                       const ServerId& id, std::chrono::milliseconds started)
+      -> void;
 
   /// Call when another server responds at the owner's address: the owner has
   /// ended, and so have its grants. Call before the On method for the command
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -143,7 +143,8 @@
     for (const auto& [id, target] : this->directory.All()) {
       const auto& entry = target->entry;
       if (entry.address != owner.address || entry.port != owner.port) continue;
-      scheduler.OnAddressReused(entry.address, entry.port, entry.started);
+      scheduler.OnAddressReused(entry.address, entry.port, entry.id,
+                                entry.started);
     }
   }
 }
--- a/tests/keys/ownership_simulation.cc
+++ b/tests/keys/ownership_simulation.cc
@@ -278,7 +278,7 @@
     const auto& entry = server.registered;
     eligible.push_back({entry, 1});
     host.service.Scheduler().OnAddressReused(entry.address, entry.port,
-                                             entry.started);
+                                             entry.id, entry.started);
   }
   this->UpdateConnections(host);
   const auto commands = host.service.TakeDueCommands(eligible);
--- a/tests/keys/replaced_owner_test.cc
+++ b/tests/keys/replaced_owner_test.cc
@@ -46,18 +46,18 @@
 TEST_F(ReplacedOwnerTest, GrantsHoldThoughAnOlderProcessIsListedAtTheAddress) {
   const auto owner = this->servers.front().owner;
   this->scheduler.OnOwnerUnreachable(owner);
-  this->scheduler.OnAddressReused(owner.address, owner.port,
+  this->scheduler.OnAddressReused(owner.address, owner.port, ServerId("former"),
                                   owner.started - milliseconds(1));
   this->scheduler.SetServers({this->servers.back()}, {});
   this->scheduler.TakeDueCommands();
   EXPECT_FALSE(this->scheduler.PlanChange());
 }
 
-TEST_F(ReplacedOwnerTest, GrantsEndOnceALaterProcessListensAtTheAddress) {
+TEST_F(ReplacedOwnerTest, GrantsEndOnceALaterServerListensAtTheAddress) {
   const auto owner = this->servers.front().owner;
   const auto other = this->servers.back();
   this->scheduler.OnOwnerUnreachable(owner);
-  this->scheduler.OnAddressReused(owner.address, owner.port,
+  this->scheduler.OnAddressReused(owner.address, owner.port, ServerId("next"),
                                   owner.started + milliseconds(1));
   this->scheduler.SetServers({other}, {});
   this->scheduler.TakeDueCommands();
@@ -65,5 +65,22 @@
   EXPECT_EQ(this->PlannedStripesOf(other.owner), kStripes);
 }
 
+TEST_F(ReplacedOwnerTest, GrantsHoldThatALaterProcessOfTheServerMayHave) {
+  const auto owner = this->servers.front().owner;
+  this->scheduler.OnOwnerUnreachable(owner);
+  this->clock.Advance(std::chrono::seconds(2));
+  this->CommitChange();
+  for (const auto& command : this->scheduler.TakeDueCommands()) {
+    ReplyToGrant(this->scheduler, command, GrantReply::kAccepted);
+  }
+  this->scheduler.OnOwnerUnreachable(owner);
+  this->scheduler.OnAddressReused(owner.address, owner.port, owner.id,
+                                  owner.started + milliseconds(1));
+  this->scheduler.SetServers({this->servers.back()}, {});
+  this->scheduler.TakeDueCommands();
+  EXPECT_FALSE(this->scheduler.PlanChange());
+  EXPECT_EQ(this->PlannedStripesOf(owner), kStripes / 2);
+}
+
 }  // namespace
 }  // namespace currantbeam
