Draw the clocks of simulated hosts and servers in a fixed order

DomainSimulation drew the rate and the offset of each clock as two arguments of one call. C++ leaves the order of evaluation of arguments open: g++ 12 evaluates them from right to left on x86-64 and from left to right on arm64, so a seed played another world on each.

Other draws were read: those in braced lists are evaluated in order, no other call in tests/ or src/ draws twice in its arguments, the order of an unordered container or of std::hash (the same 64-bit function in libstdc++ on both) decides nothing in the simulations, and nothing uses long double.

--- a/tests/ownership/domain_simulation.cc
+++ b/tests/ownership/domain_simulation.cc
@@ -32,17 +32,20 @@
 
 DomainSimulation::DomainSimulation(const Options& options)
     : options(options), random(options.seed) {
-  std::uniform_real_distribution<double> rate(0.99, 1.01);
-  std::uniform_int_distribution<int> offset(0, 1'000'000'000);
+  std::uniform_real_distribution<double> random_rate(0.99, 1.01);
+  std::uniform_int_distribution<int> random_offset(0, 1'000'000'000);
   for (int i = 0; i < options.hosts; ++i) {
-    auto host = std::make_unique<Host>(this->true_time, rate(this->random),
-                                       Duration(offset(this->random)));
+    const Duration offset(random_offset(this->random));
+    const auto rate = random_rate(this->random);
+    auto host = std::make_unique<Host>(this->true_time, rate, offset);
     host->id = HostId("h" + std::to_string(i));
     this->hosts.push_back(std::move(host));
   }
   for (int i = 0; i < options.servers; ++i) {
-    this->servers.push_back(std::make_unique<Server>(
-        this->true_time, rate(this->random), Duration(offset(this->random))));
+    const Duration offset(random_offset(this->random));
+    const auto rate = random_rate(this->random);
+    this->servers.push_back(
+        std::make_unique<Server>(this->true_time, rate, offset));
   }
   std::vector<Fault> starts;
   for (int i = 0; i < options.hosts; ++i) {
