Order two reports that a gateway makes at the same time

What callers saw: after the loss of the host of the active placer, a slot was unserved for 1.01 to 1.03 s in a few worlds; 0.80 to 0.94 s is usual.

Cause, traced at world 203 (offset drawn first; 10 ms steps): heartbeats of h1 as standby and as candidate reach h2 in the same step. Both reports carry the same Report::clock, by which the placer and its election order reports, and the first one, which still follows nobody, arrives last and replaces the second one. h1 had become active at step 1548, loses its majority at 1549, steps down, backs off and becomes active in the next term at 1572. The 240 ms are that second election; detection, expiry of the lost host's driver lease (1594) and the grants to its servers (1603) take the time that they take in the other worlds. So it is a fault of the mechanism, not of the margins for drift: two reports without an order. World 296 shows the same at 1548/1549.

GatewayAgent now gives each report a clock higher than in all earlier ones of its run, one microsecond higher if the clock stands. A placer echoes it, and a lease counted from the echo ends at most that much later, far below the allowance for drift of 15 ms.

The body of the loss test is now a function, used by both tests.

--- a/src/ownership/gateway_agent.cc
+++ b/src/ownership/gateway_agent.cc
@@ -58,7 +58,9 @@
   report.followed_placer = this->follower.FollowedPlacer();
   report.followed_term = this->follower.FollowedTerm();
   report.highest_term = this->follower.HighestTerm();
-  report.clock = ToMicros(this->clock.Now());
+  this->last_report_clock =
+      std::max(ToMicros(this->clock.Now()), this->last_report_clock + 1);
+  report.clock = this->last_report_clock;
   report.echo = heartbeat.clock;
   report.session = this->session;
   report.cursor = this->cursor;
--- a/src/ownership/gateway_agent.h
+++ b/src/ownership/gateway_agent.h
@@ -53,6 +53,7 @@
   std::uint64_t session = 0;
   std::uint64_t cursor = 0;
   TimePoint config_lease_until;
+  std::int64_t last_report_clock = 0;  ///< Report::clock, microseconds.
 };
 
 }  // namespace currantbeam
--- a/src/ownership/messages.h
+++ b/src/ownership/messages.h
@@ -69,8 +69,10 @@
   HostId followed_placer;  ///< The placer it follows; empty if none.
   Term followed_term;
   Term highest_term;
-  std::int64_t clock = 0;  ///< Gateway's clock when sent, microseconds.
-  std::int64_t echo = 0;   ///< Heartbeat::clock of the heartbeat.
+  /// Gateway's clock when sent, microseconds. Higher than in all earlier
+  /// reports of this run, because a placer uses it to order them.
+  std::int64_t clock = 0;
+  std::int64_t echo = 0;  ///< Heartbeat::clock of the heartbeat.
   std::uint64_t session = 0;
   std::uint64_t cursor = 0;
   std::uint64_t config_version = 0;
--- a/tests/ownership/grant_test.cc
+++ b/tests/ownership/grant_test.cc
@@ -224,5 +224,13 @@
   EXPECT_TRUE(alone.Successor(1, ServerId("a")).IsEmpty());
 }
 
+TEST(GatewayAgent, ReportsMadeAtTheSameTimeAreOrdered) {
+  ManualClock clock;
+  GatewayAgent agent(HostId("h"), FailureDomain("d"), 1, LeaseTiming(), clock);
+  const auto first = agent.OnHeartbeat(Heartbeat());
+  const auto second = agent.OnHeartbeat(Heartbeat());
+  EXPECT_LT(first.clock, second.clock);
+}
+
 }  // namespace
 }  // namespace currantbeam
--- a/tests/ownership/ownership_fuzz_test.cc
+++ b/tests/ownership/ownership_fuzz_test.cc
@@ -97,38 +97,57 @@
   bool platform_down;
 };
 
-class SingleLoss : public testing::TestWithParam<LossTestCase> {};
-
-TEST_P(SingleLoss, EverySlotIsServedAgainWithinASecond) {
+/// Checks that after the loss no slot stays unserved for longer than a second.
+auto CheckServedWithinASecond(const LossTestCase& loss, std::uint64_t seed)
+    -> void {
   constexpr int kQuietSteps = 1500;
   constexpr int kMaxUnservedSteps = 100;
   constexpr int kFaultLength = 400;
+  DomainSimulation::Options options;
+  options.seed = seed;
+  options.base_loss_percent = 0;  // A lost message would be another fault.
+  DomainSimulation simulation(options);
+  simulation.Run({}, kQuietSteps);
+  ASSERT_EQ(simulation.ServedSlots(), options.slots);
+  const auto active = simulation.ActivePlacer();
+  const auto target = loss.of_active_host ? active : active + 1;
+  std::vector<Fault> faults;
+  for (const auto kind : loss.kinds) {
+    faults.push_back({kind, target, 0, kQuietSteps + 1, kFaultLength});
+  }
+  if (loss.platform_down) {
+    faults.push_back(
+        {Fault::Kind::kPlatformDown, 0, 0, kQuietSteps + 1, kFaultLength});
+  }
+  int longest = 0;
+  int current = 0;
+  for (int i = 0; i < kFaultLength; ++i) {
+    simulation.Run(faults, 1);
+    current = simulation.ServedSlots() == options.slots ? 0 : current + 1;
+    longest = std::max(longest, current);
+  }
+  EXPECT_EQ(simulation.Violation(), "") << "seed " << seed;
+  EXPECT_LE(longest, kMaxUnservedSteps) << "seed " << seed;
+}
+
+class SingleLoss : public testing::TestWithParam<LossTestCase> {};
+
+TEST_P(SingleLoss, EverySlotIsServedAgainWithinASecond) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    DomainSimulation::Options options;
-    options.seed = seed;
-    options.base_loss_percent = 0;  // A lost message would be another fault.
-    DomainSimulation simulation(options);
-    simulation.Run({}, kQuietSteps);
-    ASSERT_EQ(simulation.ServedSlots(), options.slots);
-    const auto active = simulation.ActivePlacer();
-    const auto target = GetParam().of_active_host ? active : active + 1;
-    std::vector<Fault> faults;
-    for (const auto kind : GetParam().kinds) {
-      faults.push_back({kind, target, 0, kQuietSteps + 1, kFaultLength});
-    }
-    if (GetParam().platform_down) {
-      faults.push_back(
-          {Fault::Kind::kPlatformDown, 0, 0, kQuietSteps + 1, kFaultLength});
-    }
-    int longest = 0;
-    int current = 0;
-    for (int i = 0; i < kFaultLength; ++i) {
-      simulation.Run(faults, 1);
-      current = simulation.ServedSlots() == options.slots ? 0 : current + 1;
-      longest = std::max(longest, current);
-    }
-    EXPECT_EQ(simulation.Violation(), "") << "seed " << seed;
-    EXPECT_LE(longest, kMaxUnservedSteps) << "seed " << seed;
+    CheckServedWithinASecond(GetParam(), seed);
+    if (HasFatalFailure()) return;
+  }
+}
+
+TEST(HostLoss, ReorderedReportsDoNotDelayTheElection) {
+  const LossTestCase loss{
+      "Host",
+      {Fault::Kind::kPausePlacer, Fault::Kind::kPauseGateway},
+      true,
+      false};
+  for (std::uint64_t seed = 201; seed <= 400; ++seed) {
+    CheckServedWithinASecond(loss, seed);
+    if (HasFatalFailure()) return;
   }
 }
 
