Count the grace period from when the store may have been back

Cause: the steps from the end of the partition to the removal add up to more than 3 s. By the code, at worst: a probe that was sent just before the end is lost and fails by its timeout of 1.2 s (change feed without a wait); the next one follows after 0.1 s and, by the follower's retry delay, up to 0.1 s later; only then the grace period of 2.2 s for missing entries starts; its end is checked every 0.2 s. That is 3.8 s, and another follower's probe can add 0.1 s.

The grace period now ends at the latest 2.7 s after the last time at which the store is known to have been unreachable: when the last failed read was sent, or the change that it waited for was due. The partition or outage ended after that, so the server is removed 2.9 s after it at the latest. Where the store refuses at once, it is reached within 0.6 s of the last refusal and the grace period stays at 2.1 s or more, above the 2 s in which servers publish their entries again. After an outage in which calls hang, up to 1.4 s of it may have passed before the host reaches the store, so that it keeps missing servers for 1.3 s from then at least (2.2 s before).

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -11,6 +11,10 @@
 /// If an entry expired while the store was unreachable, or was lost when it was
 /// restored, a running server publishes it again within this time.
 constexpr auto kEntryGracePeriod = std::chrono::milliseconds(2200);
+/// A server that left during a partition is removed within three seconds after
+/// the partition. This leaves 300 ms for the period of ApplyTimeouts() and for
+/// requests on their way.
+constexpr auto kMaxGraceAfterUnreachable = std::chrono::milliseconds(2700);
 /// How long an outdated entry is held back. Longer than the store keeps the
 /// entry of a server that no longer writes.
 constexpr auto kOutdatedEntryHold = std::chrono::seconds(10);
@@ -98,8 +102,9 @@
   this->targets.erase(target);
 }
 
-auto BackendDirectory::OnStoreRecovered() -> void {
-  this->grace_period_end = this->clock.Now() + kEntryGracePeriod;
+auto BackendDirectory::OnStoreRecovered(TimePoint unreachable_at) -> void {
+  this->grace_period_end = std::min(this->clock.Now() + kEntryGracePeriod,
+                                    unreachable_at + kMaxGraceAfterUnreachable);
 }
 
 auto BackendDirectory::OnRollback() -> void {
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -36,7 +36,10 @@
   auto Remove(const ServerId& id) -> void;
   /// The store is reachable again. Starts the grace period, as entries may have
   /// expired while it was unreachable and their servers publish them again.
-  auto OnStoreRecovered() -> void;
+  /// @param unreachable_at  the latest time at which the store is known to have
+  ///   been unreachable. The later it was reached again after that, the shorter
+  ///   is the grace period, as the store may have been back before.
+  auto OnStoreRecovered(TimePoint unreachable_at) -> void;
   /// The store was restored from an older copy. Starts the grace period, as the
   /// entries written since are missing and their servers publish them again.
   /// The entries applied until OnSynced() are those of the restored table.
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -96,7 +96,8 @@
       routes_listener(
           this->dependencies.schema,
           [this](RouteConfig config) { this->ApplyRoutes(std::move(config)); }),
-      backends_listener(this->dependencies.schema, this->directory),
+      backends_listener(this->dependencies.schema, this->directory,
+                        [this] { return this->store_breaker.UnreachableAt(); }),
       stop_signal(this->loop, [this] { this->Drain(); }),
       reload_signal(this->loop, [this] { this->PollSettings(); }) {}
 
--- a/src/router/store_listeners.cc
+++ b/src/router/store_listeners.cc
@@ -62,7 +62,7 @@
 }
 
 auto BackendsListener::OnReachable(bool reachable) -> void {
-  if (reachable) this->directory.OnStoreRecovered();
+  if (reachable) this->directory.OnStoreRecovered(this->unreachable_at());
   LogReachable(this->schema.BackendsTable(), reachable);
 }
 
--- a/src/router/store_listeners.h
+++ b/src/router/store_listeners.h
@@ -28,8 +28,14 @@
 /// Applies changes of the backends table to the BackendDirectory.
 class BackendsListener : public TableListener {
  public:
-  BackendsListener(const StoreSchema& schema, BackendDirectory& directory)
-      : schema(schema), directory(directory) {}
+  using UnreachableAt = std::function<TimePoint()>;
+  /// @param unreachable_at  returns the latest time at which the store is known
+  ///   to have been unreachable.
+  BackendsListener(const StoreSchema& schema, BackendDirectory& directory,
+                   UnreachableAt unreachable_at)
+      : schema(schema),
+        directory(directory),
+        unreachable_at(std::move(unreachable_at)) {}
 
   auto OnRow(const StoreRow& row) -> void override;
   auto OnRemoved(const std::string& key) -> void override;
@@ -42,6 +48,7 @@
  private:
   const StoreSchema& schema;
   BackendDirectory& directory;
+  UnreachableAt unreachable_at;
   std::set<std::string> unreadable;  ///< Keys of invalid rows; logged once.
   bool is_current = false;
 };
--- a/src/store/circuit_breaker_store.cc
+++ b/src/store/circuit_breaker_store.cc
@@ -6,9 +6,6 @@
 namespace {
 
 constexpr Duration kInitialInterval = std::chrono::milliseconds(100);
-/// A host keeps servers whose entries are missing for a grace period after it
-/// reaches the store again. With the time until it does, this has to stay below
-/// three seconds after an outage or a partition.
 constexpr Duration kMaxInterval = std::chrono::milliseconds(500);
 /// Pause after a call that failed by its timeout, which may exceed the
 /// interval.
@@ -18,15 +15,16 @@
 
 auto CircuitBreakerStore::Read(const std::string& table,
                                const std::string& partition) -> RowBatch {
-  return this->Guard([&] { return this->store.Read(table, partition); });
+  return this->Guard([&] { return this->store.Read(table, partition); },
+                     Duration(0));
 }
 
 auto CircuitBreakerStore::Follow(const std::string& table, StoreVersion after,
                                  std::chrono::milliseconds wait) -> RowBatch {
   // A probe must not wait for a change, as its response closes the breaker.
   const auto max_wait = this->IsOpen() ? std::chrono::milliseconds(0) : wait;
-  return this->Guard(
-      [&] { return this->store.Follow(table, after, max_wait); });
+  return this->Guard([&] { return this->store.Follow(table, after, max_wait); },
+                     max_wait);
 }
 
 auto CircuitBreakerStore::Write(const StoreWrite& write) -> WriteResult {
@@ -37,14 +35,22 @@
   return result;
 }
 
-auto CircuitBreakerStore::Guard(const Call& call) -> RowBatch {
+auto CircuitBreakerStore::UnreachableAt() const -> TimePoint {
+  if (!this->is_probing) return this->unreachable_at;
+  return std::max(this->unreachable_at, this->probe_sent_at);
+}
+
+auto CircuitBreakerStore::Guard(const Call& call, Duration wait) -> RowBatch {
   const bool is_probe = this->IsOpen();
   if (is_probe &&
       (this->is_probing || this->clock.Now() < this->next_probe_at)) {
     throw StoreError("store: not called again yet after a failed call");
   }
-  if (is_probe) this->is_probing = true;
   const auto sent_at = this->clock.Now();
+  if (is_probe) {
+    this->is_probing = true;
+    this->probe_sent_at = sent_at;
+  }
   try {
     auto batch = call();
     if (is_probe) this->is_probing = false;
@@ -56,12 +62,18 @@
     throw;
   } catch (const StoreError&) {
     if (is_probe) this->is_probing = false;
+    this->OnUnreachable(sent_at + wait);
     // Calls that were in flight when the breaker opened don't count again.
     if (is_probe || !this->IsOpen()) this->OnFailure(sent_at);
     throw;
   }
 }
 
+auto CircuitBreakerStore::OnUnreachable(TimePoint response_due_at) -> void {
+  const auto at = std::min(response_due_at, this->clock.Now());
+  this->unreachable_at = std::max(this->unreachable_at, at);
+}
+
 auto CircuitBreakerStore::OnFailure(TimePoint sent_at) -> void {
   this->interval =
       std::min(std::max(2 * this->interval, kInitialInterval), kMaxInterval);
--- a/src/store/circuit_breaker_store.h
+++ b/src/store/circuit_breaker_store.h
@@ -25,24 +25,33 @@
               std::chrono::milliseconds wait) -> RowBatch override;
   auto Write(const StoreWrite& write) -> WriteResult override;
 
+  /// @return the latest time at which the store is known to have been
+  ///   unreachable: a read that failed was sent then, or the change that it
+  ///   waited for was due at the latest. The zero time point if none failed.
+  [[nodiscard]] auto UnreachableAt() const -> TimePoint;
+
  private:
   using Call = std::function<RowBatch()>;
 
   /// Makes the call unless the breaker is open.
+  /// @param wait  how long the store may delay its response.
   /// @throws StoreError if the breaker is open or the call fails.
-  auto Guard(const Call& call) -> RowBatch;
+  auto Guard(const Call& call, Duration wait) -> RowBatch;
   [[nodiscard]] auto IsOpen() const -> bool {
     return this->interval != Duration(0);
   }
   auto OnResponse() -> void { this->interval = Duration(0); }
   /// @param sent_at  when the failed call was sent.
   auto OnFailure(TimePoint sent_at) -> void;
+  auto OnUnreachable(TimePoint response_due_at) -> void;
 
   StoreClient& store;
   const Clock& clock;
   Duration interval{0};  ///< Zero while the breaker is closed.
   TimePoint next_probe_at{};
   bool is_probing = false;
+  TimePoint probe_sent_at{};
+  TimePoint unreachable_at{};
 };
 
 }  // namespace currantbeam
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -203,7 +203,7 @@
   BackendDirectory directory(clock);
   directory.Apply(MakeEntry("a", 1));
   directory.Apply(MakeEntry("b", 2));
-  directory.OnStoreRecovered();
+  directory.OnStoreRecovered(clock.Now());
   directory.Remove(ServerId("a"));
   directory.Remove(ServerId("b"));
   EXPECT_EQ(directory.Ready(ServiceName("s")).size(), 2U);
--- a/tests/router/store_listeners_test.cc
+++ b/tests/router/store_listeners_test.cc
@@ -7,6 +7,7 @@
 
 #include "router/make_entry.h"
 #include "router/route_table.h"
+#include "store/store.h"
 
 namespace currantbeam {
 namespace {
@@ -73,7 +74,8 @@
   ManualClock clock;
   FakeSchema schema;
   BackendDirectory directory{this->clock};
-  BackendsListener listener{this->schema, this->directory};
+  BackendsListener listener{this->schema, this->directory,
+                            [this] { return this->clock.Now(); }};
 };
 
 TEST_F(RestoredTableTest, KeepsAServerThatIsMissingUntilItWritesAgain) {
@@ -262,5 +264,130 @@
   EXPECT_TRUE(this->IsServed("/b/x"));
 }
 
+/// A store whose calls fail until a time: at once, or by their timeout, as
+/// behind a partition. A call that was sent before then is lost.
+class UnreachableStore : public StoreClient {
+ public:
+  static constexpr Duration kReadTimeout = milliseconds(1000);
+  static constexpr Duration kFeedTimeoutMargin = milliseconds(1200);
+
+  UnreachableStore(StoreClient& store, ManualClock& clock, bool times_out)
+      : store(store), clock(clock), times_out(times_out) {}
+
+  auto Read(const std::string& table, const std::string& partition)
+      -> RowBatch override {
+    this->FailIfUnreachable(kReadTimeout);
+    return this->store.Read(table, partition);
+  }
+  auto Follow(const std::string& table, StoreVersion after,
+              std::chrono::milliseconds wait) -> RowBatch override {
+    this->FailIfUnreachable(wait + kFeedTimeoutMargin);
+    return this->store.Follow(table, after, wait);
+  }
+  auto Write(const StoreWrite& write) -> WriteResult override {
+    return this->store.Write(write);
+  }
+
+  TimePoint unreachable_until{};
+
+ private:
+  auto FailIfUnreachable(Duration timeout) -> void {
+    if (this->clock.Now() >= this->unreachable_until) return;
+    if (this->times_out) this->clock.Advance(timeout);
+    throw StoreError("unreachable");
+  }
+
+  StoreClient& store;
+  ManualClock& clock;
+  bool times_out;
+};
+
+/// A host that follows the backends table through its circuit breaker.
+class OutageSimulation {
+ public:
+  explicit OutageSimulation(bool times_out)
+      : unreachable_store(this->memory, this->clock, times_out) {
+    this->memory.Put(this->row, "1");
+    this->follower.Step();
+  }
+
+  /// The server's entry is removed while the host doesn't reach the store.
+  auto RemoveDuringOutage(Duration length) -> void {
+    this->outage_end = this->clock.Now() + length;
+    this->unreachable_store.unreachable_until = this->outage_end;
+    this->memory.Remove(this->row);
+  }
+  auto PublishAgain() -> void { this->memory.Put(this->row, "2"); }
+  auto RunUntil(Duration since_outage) -> void {
+    while (this->SinceOutage() < since_outage) this->Step();
+  }
+  /// @return how long after the outage the server was removed.
+  auto RunUntilRemoved() -> Duration {
+    while (this->IsKnown()) this->Step();
+    return this->SinceOutage();
+  }
+  [[nodiscard]] auto IsKnown() const -> bool {
+    return this->directory.Find(ServerId(this->row.key)) != nullptr;
+  }
+
+ private:
+  static constexpr Duration kTick = milliseconds(10);
+  static constexpr Duration kTaskInterval = milliseconds(200);
+
+  [[nodiscard]] auto SinceOutage() const -> Duration {
+    return this->clock.Now() - this->outage_end;
+  }
+  auto Step() -> void {
+    if (this->clock.Now() >= this->next_step_at) {
+      const auto delay = this->follower.Step();
+      this->next_step_at = this->clock.Now() + delay;
+    }
+    this->clock.Advance(kTick);
+    if (this->clock.Now() < this->next_task_at) return;
+    this->next_task_at = this->clock.Now() + kTaskInterval;
+    this->directory.ApplyTimeouts();
+  }
+
+  RowName row{"backends", "", "a"};
+  ManualClock clock;
+  MemoryStore memory{this->clock};
+  UnreachableStore unreachable_store;
+  CircuitBreakerStore breaker{this->unreachable_store, this->clock};
+  FakeSchema schema;
+  BackendDirectory directory{this->clock};
+  BackendsListener listener{this->schema, this->directory,
+                            [this] { return this->breaker.UnreachableAt(); }};
+  FollowOptions options{"backends"};
+  TableFollower follower{this->breaker, this->options, this->listener};
+  TimePoint outage_end{};
+  TimePoint next_step_at{};
+  TimePoint next_task_at{};
+};
+
+TEST(BackendsListener, ServerThatLeftDuringAPartitionIsRemovedInTime) {
+  Duration longest{0};
+  // The phase of the last lost call differs by the length of the partition.
+  for (Duration length = seconds(28); length < seconds(32);
+       length += milliseconds(10)) {
+    OutageSimulation simulation(true);
+    simulation.RemoveDuringOutage(length);
+    longest = std::max(longest, simulation.RunUntilRemoved());
+  }
+  EXPECT_LT(std::chrono::duration_cast<milliseconds>(longest).count(), 3000);
+}
+
+TEST(BackendsListener, ServerThatReturnsAfterAStoreOutageIsKept) {
+  for (Duration length = seconds(3); length < seconds(5);
+       length += milliseconds(10)) {
+    OutageSimulation simulation(false);
+    simulation.RemoveDuringOutage(length);
+    simulation.RunUntil(seconds(2));
+    EXPECT_TRUE(simulation.IsKnown());
+    simulation.PublishAgain();
+    simulation.RunUntil(seconds(5));
+    EXPECT_TRUE(simulation.IsKnown());
+  }
+}
+
 }  // namespace
 }  // namespace currantbeam
--- a/tests/store/circuit_breaker_store_test.cc
+++ b/tests/store/circuit_breaker_store_test.cc
@@ -146,5 +146,22 @@
   EXPECT_TRUE(this->Read());
 }
 
+TEST_F(CircuitBreakerStoreTest, AProbeThatSucceedsDoesNotCountAsUnreachable) {
+  this->memory.SetDown(true);
+  this->Read();
+  const auto failed_at = this->clock.Now();
+  this->memory.SetDown(false);
+  this->clock.Advance(std::chrono::seconds(1));
+  EXPECT_TRUE(this->Read());
+  EXPECT_EQ(this->store.UnreachableAt(), failed_at);
+}
+
+TEST_F(CircuitBreakerStoreTest, APollThatFailsAtOnceIsNotDatedLater) {
+  this->memory.SetDown(true);
+  const auto wait = std::chrono::seconds(25);
+  EXPECT_THROW(this->store.Follow(kTable, {}, wait), StoreError);
+  EXPECT_EQ(this->store.UnreachableAt(), this->clock.Now());
+}
+
 }  // namespace
 }  // namespace currantbeam
