--- a/tests/http/idle_connection_test.cc
+++ b/tests/http/idle_connection_test.cc
@@ -7,13 +7,15 @@
 
 #include "fiber_test.h"
 #include "http/http.h"
+#include "port_block.h"
 
 namespace currantbeam {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t kPort = 27350;
+const std::uint16_t kPort = TestPort(0);
+const std::uint16_t kRaisedTimeoutPort = TestPort(1);
 
 class OkHandler : public HttpHandler {
  public:
@@ -88,14 +90,14 @@
 // Callers reuse the connection by the raised limit.
 TEST(IdleConnection, StaysOpenIfTheTimeoutIsRaisedWhileItIsIdle) {
   OkHandler handler;
-  auto options = LocalServerOptions(kPort + 1);
+  auto options = LocalServerOptions(kRaisedTimeoutPort);
   options.limits.idle_timeout = milliseconds(200);
   HttpServer server(options, handler);
   FiberLoop loop;
   bool is_answered = false;
   RunInFiber(loop, [&] {
     server.Listen(loop);
-    HttpConnection connection("127.0.0.1", kPort + 1);
+    HttpConnection connection("127.0.0.1", kRaisedTimeoutPort);
     connection.Connect(std::chrono::seconds(1));
     connection.Send({http::verb::get, "/", 11}, std::chrono::seconds(1));
     EXPECT_TRUE(IsAnswered(connection));
--- a/tests/platform/platform_contract_test.cc
+++ b/tests/platform/platform_contract_test.cc
@@ -7,11 +7,12 @@
 #include "placer/account_store.h"
 #include "placer/config_store.h"
 #include "platform/platform.h"
+#include "port_block.h"
 
 namespace currantbeam {
 namespace {
 
-constexpr std::uint16_t kPort = 27101;
+const std::uint16_t kPort = TestPort(0);
 constexpr auto kTimeout = std::chrono::milliseconds(300);
 
 /// Serves a MemoryPlatform over HTTP and injects faults: an outage, or
--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -5,6 +5,7 @@
 #include "boot_settings.h"
 #include "fiber_test.h"
 #include "platform_schema.h"
+#include "port_block.h"
 #include "standins/wire/wire_store.h"
 #include "table_store_client.h"
 
@@ -13,9 +14,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t kStorePort = 27391;
-constexpr std::uint16_t kPagedStorePort = 27392;
-constexpr std::uint16_t kRestoredStorePort = 27394;
+const std::uint16_t kStorePort = TestPort(0);
+const std::uint16_t kPagedStorePort = TestPort(1);
+const std::uint16_t kRestoredStorePort = TestPort(2);
 
 const char* const kSettings =
     R"({"node":"front-1","zone":"x","ip":"10.0.0.1","portRange":[7540,7555],
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -4,6 +4,7 @@
 
 #include "fiber_test.h"
 #include "platform_wire/wire_fleet.h"
+#include "port_block.h"
 
 namespace currantbeam {
 namespace {
@@ -32,7 +33,7 @@
     }
   }
 
-  WireFleet fleet{27300};
+  WireFleet fleet{TestPort(0)};
   int probe_count = 0;
 };
 
--- a/tests/platform_wire/stopping_test.cc
+++ b/tests/platform_wire/stopping_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "platform_wire/wire_fleet.h"
+#include "port_block.h"
 
 namespace currantbeam {
 namespace {
@@ -37,7 +38,7 @@
         });
   }
 
-  WireFleet fleet{27320};
+  WireFleet fleet{TestPort(20)};
 };
 
 TEST_F(Shutdown, CompletesRequestsInFlight) {
--- a/tests/platform_wire/wire_store_test.cc
+++ b/tests/platform_wire/wire_store_test.cc
@@ -6,11 +6,12 @@
 #include <websocketpp/base64/base64.hpp>
 
 #include "fiber_test.h"
+#include "port_block.h"
 
 namespace currantbeam {
 namespace {
 
-constexpr std::uint16_t kPort = 27393;
+const std::uint16_t kPort = TestPort(0);
 constexpr auto kCallTimeout = std::chrono::seconds(2);
 /// Longer than the test runs: the copy is that of the empty store.
 const char* const kRestoreEmpty = "/standin/restore?seconds=20";
--- a/tests/servers/request_path_test.cc
+++ b/tests/servers/request_path_test.cc
@@ -8,14 +8,15 @@
 #include "fiber_test.h"
 #include "gateway/gateway_state.h"
 #include "gateway/request_handlers.h"
+#include "port_block.h"
 #include "servers/servers.h"
 #include "standins/server/server_handler.h"
 
 namespace currantbeam {
 namespace {
 
-constexpr std::uint16_t kServerPort = 27201;
-constexpr std::uint16_t kClientPort = 27202;
+const std::uint16_t kServerPort = TestPort(0);
+const std::uint16_t kClientPort = TestPort(1);
 constexpr auto kTimeout = std::chrono::milliseconds(5000);
 
 const char* const kConfiguration = R"(deployment = "d"
