Quarantine requests under which servers end

Cause: the end of a server during a request was recorded as a failure of the server only. Nothing was kept about the request, at that host or at others.

Change: RequestQuarantine keeps which server processes ended under which requests. An answer clears a request, so bystanders collect no evidence. After three processes the request is refused before each send. Hosts share what they know with the load reports and their replies, which they send anyway; the coordinator stores the quarantined requests in one row.

--- a/src/core/events.h
+++ b/src/core/events.h
@@ -27,6 +27,11 @@
 constexpr LogEvent kAttemptFailed{306, LogLevel::kWarn, "attempt-failed"};
 constexpr LogEvent kOwnerGone{307, LogLevel::kInfo, "owner-gone"};
 constexpr LogEvent kRequestCut{308, LogLevel::kError, "request-cut"};
+constexpr LogEvent kServerEnded{320, LogLevel::kWarn, "server-ended"};
+constexpr LogEvent kRequestQuarantined{321, LogLevel::kWarn,
+                                       "request-quarantined"};
+constexpr LogEvent kRequestReleased{322, LogLevel::kInfo, "request-released"};
+constexpr LogEvent kQuarantineUnread{323, LogLevel::kWarn, "quarantine-unread"};
 constexpr LogEvent kReplayed{305, LogLevel::kInfo, "replayed"};
 
 constexpr LogEvent kPlatformLost{400, LogLevel::kWarn, "platform-lost"};
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -5,6 +5,7 @@
 /// Boost.Beast and fibers.
 
 #include "http/cancel_on_peer_loss.h"
+#include "http/connect_probe.h"
 #include "http/http_client.h"
 #include "http/http_exchange.h"
 #include "http/http_server.h"
--- a/src/keys/load_report.cc
+++ b/src/keys/load_report.cc
@@ -63,11 +63,15 @@
   for (const auto& [name, load] : this->services) {
     services[name.Value()] = EncodeService(load);
   }
-  return ToCbor({{"h", this->host.Value()},
-                 {"e", this->endpoint},
-                 {"i", this->interval.count()},
-                 {"s", services},
-                 {"t", this->tables}});
+  nlohmann::json report = {{"h", this->host.Value()},
+                           {"e", this->endpoint},
+                           {"i", this->interval.count()},
+                           {"s", services},
+                           {"t", this->tables}};
+  if (!this->quarantine.IsEmpty()) {
+    report["q"] = ToBinary(this->quarantine.Encode());
+  }
+  return ToCbor(report);
 }
 
 auto LoadReport::Decode(const std::string& text) -> LoadReport {
@@ -80,6 +84,9 @@
       report.services[ServiceName(name)] = DecodeService(load);
     }
     report.tables = json.at("t").get<std::map<std::string, StoreVersion>>();
+    if (json.contains("q")) {
+      report.quarantine = QuarantineState::Decode(FromBinary(json.at("q")));
+    }
     return report;
   });
 }
--- a/src/keys/load_report.h
+++ b/src/keys/load_report.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "policy/policy.h"
 #include "store/store_client.h"
 
 namespace currantbeam {
@@ -29,6 +30,8 @@
   /// The versions of the store tables that the host follows, as far as it has
   /// their changes; by table.
   std::map<std::string, StoreVersion> tables;
+  /// Empty in reports of hosts of an older version.
+  QuarantineState quarantine;
 
   [[nodiscard]] auto Encode() const -> std::string;
   /// @throws InputError if the text is not an encoded report.
--- a/src/keys/load_report_reply.cc
+++ b/src/keys/load_report_reply.cc
@@ -3,15 +3,25 @@
 #include "core/cbor.h"
 
 namespace currantbeam {
+namespace {
+
+/// The quarantine, if there is one, follows these fields.
+constexpr std::size_t kFieldsWithoutQuarantine = 3;
+
+}  // namespace
 
 auto LoadReportReply::Encode() const -> std::string {
   auto table_updates = nlohmann::json::array();
   for (const auto& update : this->table_updates) {
     table_updates.push_back(ToBinary(update.Encode()));
   }
-  return ToCbor({this->host_count,
-                 ToBinary(EncodeVersions(this->owner_versions)),
-                 std::move(table_updates)});
+  nlohmann::json reply = {this->host_count,
+                          ToBinary(EncodeVersions(this->owner_versions)),
+                          std::move(table_updates)};
+  if (!this->quarantine.IsEmpty()) {
+    reply.push_back(ToBinary(this->quarantine.Encode()));
+  }
+  return ToCbor(reply);
 }
 
 auto LoadReportReply::Decode(const std::string& text) -> LoadReportReply {
@@ -23,6 +33,10 @@
     for (const auto& update : json.at(2)) {
       reply.table_updates.push_back(TableUpdate::Decode(FromBinary(update)));
     }
+    if (json.size() > kFieldsWithoutQuarantine) {
+      reply.quarantine = QuarantineState::Decode(
+          FromBinary(json.at(kFieldsWithoutQuarantine)));
+    }
     return reply;
   });
 }
--- a/src/keys/load_report_reply.h
+++ b/src/keys/load_report_reply.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "keys/owner_versions.h"
+#include "policy/policy.h"
 #include "store/table_update.h"
 
 namespace currantbeam {
@@ -16,6 +17,8 @@
   OwnerVersions owner_versions;
   /// Changes of the store tables in the report that the host doesn't have yet.
   std::vector<TableUpdate> table_updates;
+  /// Empty in replies of hosts of an older version.
+  QuarantineState quarantine;
 
   [[nodiscard]] auto Encode() const -> std::string;
   /// @throws InputError if the text is not an encoded reply.
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -78,6 +78,7 @@
   this->request.state.RetryBudgetFor(this->request.service).OnRequest();
   this->RecordKeyLoad();
   while (!this->HasClientDisconnected()) {
+    if (this->RefuseIfQuarantined()) return;
     const auto target = this->ChooseTarget();
     if (target == nullptr) return;
     if (this->WouldOutlastStop(*target)) {
@@ -105,6 +106,14 @@
   this->request.exchange.Abort();
 }
 
+auto ForwardedRequest::RefuseIfQuarantined() -> bool {
+  const auto wait = this->quarantine_check.TimeUntilRelease();
+  if (!wait) return false;
+  this->Refuse("quarantined",
+               std::chrono::ceil<std::chrono::milliseconds>(*wait));
+  return true;
+}
+
 auto ForwardedRequest::WouldOutlastStop(const BackendTarget& target) const
     -> bool {
   const auto& stop = this->request.state.stop;
@@ -214,9 +223,13 @@
   this->request.state.metrics.OnAttempt(this->request.service, target.entry.id,
                                         outcome);
   if (outcome == AttemptOutcome::kAnswered) {
+    this->quarantine_check.OnAnswered();
     this->LogResponse(target, attempt.Status());
     this->RecordResult(RequestResult::kAnswered);
   }
+  if (attempt.HasLostConnection()) {
+    this->quarantine_check.OnConnectionLost(target.entry);
+  }
   return outcome;
 }
 
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "router/quarantine_check.h"
 #include "router/request_context.h"
 #include "router/server_attempt.h"
 
@@ -29,6 +30,9 @@
   /// Sends the request to one server after another until one responds or it
   /// can't be retried.
   auto Forward() -> void;
+  /// Refuses the request if it is quarantined.
+  /// @return whether it was refused.
+  auto RefuseIfQuarantined() -> bool;
   /// @return whether the process stops before this server is expected to
   ///   respond.
   [[nodiscard]] auto WouldOutlastStop(const BackendTarget& target) const
@@ -74,6 +78,7 @@
   auto LogResponse(const BackendTarget& target, unsigned status) const -> void;
 
   RequestContext request;
+  QuarantineCheck quarantine_check{this->request};
   std::vector<ServerId> tried_servers;
 };
 
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -52,13 +52,14 @@
 
 PeerExchange::PeerExchange(const RouterSettings& settings, const Clock& clock,
                            LoadRecorder& loads, OwnerDirectory& owners,
-                           FleetSize& fleet, RelayedStore& store,
-                           Duration first_contact_timeout)
+                           FleetSize& fleet, RequestQuarantine& quarantine,
+                           RelayedStore& store, Duration first_contact_timeout)
     : settings(settings),
       clock(clock),
       loads(loads),
       owners(owners),
       fleet(fleet),
+      quarantine(quarantine),
       store(store),
       first_contact_timeout(first_contact_timeout),
       server(ServerOptions(settings.peers), *this) {}
@@ -98,6 +99,7 @@
     this->last_contact_at = this->clock.Now();
   } else {
     report.tables = this->store.Versions();
+    report.quarantine = this->quarantine.State(this->clock.Now());
     const bool is_accepted = this->SendReport(report);
     this->coordinator->OnCoordinatorContact(is_accepted);
     if (is_accepted) this->last_contact_at = this->clock.Now();
@@ -131,7 +133,8 @@
         return this->HasReportedRecently(peer.second);
       });
   return {static_cast<int>(others) + 1, this->coordinator->Versions(),
-          this->store.UpdatesSince(report.tables)};
+          this->store.UpdatesSince(report.tables),
+          this->quarantine.State(this->clock.Now())};
 }
 
 auto PeerExchange::ApplyReportReply(LoadReportReply reply, TimePoint sent_at)
@@ -141,6 +144,7 @@
     this->owners.OnCoordinatorVersion(service, version);
   }
   this->store.OnUpdates(std::move(reply.table_updates), sent_at);
+  this->quarantine.Merge(reply.quarantine, this->clock.Now());
 }
 
 auto PeerExchange::HasReportedRecently(const Peer& peer) const -> bool {
@@ -253,6 +257,7 @@
   this->peers[report.host] = {ParseEndpoint(report.endpoint),
                               this->clock.Now()};
   this->coordinator->OnReport(report);
+  this->quarantine.Merge(report.quarantine, this->clock.Now());
   HttpResponse response{http::status::ok, 11};
   response.body() = this->MakeReportReply(report).Encode();
   exchange.Send(std::move(response));
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -20,7 +20,8 @@
   ///   coordinator before it reads the owners from the store.
   PeerExchange(const RouterSettings& settings, const Clock& clock,
                LoadRecorder& loads, OwnerDirectory& owners, FleetSize& fleet,
-               RelayedStore& store, Duration first_contact_timeout);
+               RequestQuarantine& quarantine, RelayedStore& store,
+               Duration first_contact_timeout);
 
   /// Starts listening, reporting and reading on the loop.
   auto Start(FiberLoop& loop, KeyCoordinator& coordinator) -> void;
@@ -52,7 +53,8 @@
   auto SendReport(const LoadReport& report) -> bool;
   /// @return the coordinator's reply to the report.
   auto MakeReportReply(const LoadReport& report) -> LoadReportReply;
-  /// Applies the reply's number of hosts, owner versions and table updates.
+  /// Applies the reply's number of hosts, owner versions, table updates and
+  /// quarantine.
   /// @param sent_at  when the report was sent.
   auto ApplyReportReply(LoadReportReply reply, TimePoint sent_at) -> void;
   /// Handles a report of another host; 503 unless the coordinator is active.
@@ -73,6 +75,7 @@
   LoadRecorder& loads;
   OwnerDirectory& owners;
   FleetSize& fleet;
+  RequestQuarantine& quarantine;
   RelayedStore& store;
   Duration first_contact_timeout;
   KeyCoordinator* coordinator = nullptr;
--- /dev/null
+++ b/src/router/quarantine_check.cc
@@ -0,0 +1,41 @@
+#include "router/quarantine_check.h"
+
+#include "core/events.h"
+#include "router/request_fingerprint.h"
+
+namespace currantbeam {
+
+auto QuarantineCheck::TimeUntilRelease() -> std::optional<Duration> {
+  auto& state = this->request.state;
+  if (state.quarantine.IsIdle()) return std::nullopt;
+  return state.quarantine.TimeUntilRelease(this->Fingerprint(),
+                                           state.clock.Now());
+}
+
+auto QuarantineCheck::OnAnswered() -> void {
+  auto& quarantine = this->request.state.quarantine;
+  if (!quarantine.IsIdle()) quarantine.OnAnswered(this->Fingerprint());
+}
+
+auto QuarantineCheck::OnConnectionLost(const BackendEntry& server) -> void {
+  auto& state = this->request.state;
+  // The entry may be replaced while the probe waits.
+  const ServerProcess process{server.id, server.started};
+  if (!state.ended_server_probe.HasEnded(server)) return;
+  Log(events::kServerEnded,
+      {{"request", this->request.RequestId()},
+       {"server", process.id.Value()},
+       {"fingerprint", FormatFingerprint(this->Fingerprint())}});
+  state.quarantine.OnServerEnded(process, this->Fingerprint(),
+                                 state.clock.Now());
+}
+
+auto QuarantineCheck::Fingerprint() -> RequestFingerprint {
+  if (!this->fingerprint) {
+    this->fingerprint = FingerprintOf(this->request.exchange.Request(),
+                                      this->request.state.headers);
+  }
+  return *this->fingerprint;
+}
+
+}  // namespace currantbeam
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -9,6 +9,7 @@
 #include "policy/policy.h"
 #include "router/active_requests.h"
 #include "router/backend_chooser.h"
+#include "router/ended_server_probe.h"
 #include "router/forwarding_headers.h"
 #include "router/owner_directory.h"
 #include "router/request_metrics.h"
@@ -41,6 +42,8 @@
   std::shared_ptr<const RouteTable> routes;
   TargetSequence target_sequence;
   RequestMetrics metrics;
+  RequestQuarantine quarantine;
+  EndedServerProbe ended_server_probe;
   ActiveRequests active_requests;
   StopSchedule stop;
   std::unordered_map<ServiceName, RetryBudget> retry_budgets;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -24,6 +24,7 @@
 /// The loop counts as overloaded when a timer fires this late.
 constexpr auto kLateLoopThreshold = std::chrono::milliseconds(50);
 constexpr int kTaskRunsPerSettingsPoll = 5;
+constexpr auto kQuarantineStoreInterval = std::chrono::seconds(1);
 constexpr auto kBackendBatchInterval = std::chrono::milliseconds(250);
 
 auto OptionsFor(const Endpoint& endpoint) -> HttpServer::Options {
@@ -78,10 +79,13 @@
             {this->dependencies.schema.RoutesTable(),
              this->dependencies.schema.BackendsTable()},
             StartTimeout(settings)),
-      peer_exchange(settings, this->clock, this->loads, this->owners,
-                    this->fleet, this->store, StartTimeout(settings)),
       state(this->clock, this->dependencies.headers, this->directory,
             this->owners, this->loads, settings.domain),
+      peer_exchange(settings, this->clock, this->loads, this->owners,
+                    this->fleet, this->state.quarantine, this->store,
+                    StartTimeout(settings)),
+      quarantine_store(this->store_breaker, this->clock, this->state.quarantine,
+                       [this] { return this->LatestStoreEpoch(); }),
       forwarder(this->state),
       readiness_handler(*this),
       caller_server(OptionsFor(settings.callers), this->forwarder),
@@ -114,6 +118,7 @@
     this->coordinator.Start();
     this->RunPeriodicTasks();
   });
+  this->loop.Spawn([this] { this->RunQuarantineStore(); });
   Log(events::kProcessStarted,
       {{"version", kVersion}, {"domain", this->settings.domain.Value()}});
   this->loop.Run();
@@ -159,6 +164,7 @@
     const auto delay = this->clock.Now() - started_at - kPeriodicTaskInterval;
     this->state.is_loop_late = delay > kLateLoopThreshold;
     this->directory.ApplyTimeouts();
+    this->state.quarantine.Expire(this->clock.Now());
     FlushLog();
     this->ApplyFleetSize();
     if (run % kTaskRunsPerSettingsPoll == 0) this->PollSettings();
@@ -171,6 +177,22 @@
   this->state.SetRetryLimits(this->settings.retry_limits.PerHost(hosts));
 }
 
+auto RouterProcess::RunQuarantineStore() -> void {
+  while (true) {
+    this->quarantine_store.LoadIfNeeded();
+    if (this->coordinator.IsActive()) this->quarantine_store.StoreIfChanged();
+    SleepFor(kQuarantineStoreInterval);
+  }
+}
+
+auto RouterProcess::LatestStoreEpoch() const -> StoreEpoch {
+  StoreEpoch latest = 0;
+  for (const auto& [table, version] : this->store.Versions()) {
+    latest = std::max(latest, version.epoch);
+  }
+  return latest;
+}
+
 auto RouterProcess::PollSettings() -> void {
   try {
     const auto changed = this->dependencies.settings.Poll();
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -6,6 +6,7 @@
 #include "program/program.h"
 #include "router/metrics_page.h"
 #include "router/peer_exchange.h"
+#include "router/quarantine_store.h"
 #include "router/request_forwarder.h"
 #include "router/router_settings.h"
 #include "router/store_listeners.h"
@@ -58,6 +59,11 @@
   /// updates the number of hosts.
   auto RunPeriodicTasks() -> void;
   auto PollSettings() -> void;
+  /// Reads the quarantined requests from the store after the start, and stores
+  /// them while this host has the active KeyCoordinator.
+  auto RunQuarantineStore() -> void;
+  /// @return the latest epoch of the store in which a shared table was read.
+  [[nodiscard]] auto LatestStoreEpoch() const -> StoreEpoch;
   /// Sets this host's share of the limits that all hosts have together.
   auto ApplyFleetSize() -> void;
   /// Ends the process in order, by a StopSchedule: stops accepting, completes
@@ -79,8 +85,9 @@
   FleetSize fleet;
   CircuitBreakerStore store_breaker;
   RelayedStore store;
-  PeerExchange peer_exchange;
   ForwardingState state;
+  PeerExchange peer_exchange;
+  QuarantineStore quarantine_store;
   RequestForwarder forwarder;
   ReadinessHandler readiness_handler;
   HttpServer caller_server;
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -76,6 +76,9 @@
     return AttemptOutcome::kClientDisconnected;
   }
   const auto now = this->request.state.clock.Now();
+  this->has_lost_connection =
+      this->request.phase == RequestPhase::kAwaitingAnswer &&
+      now < this->request.RespondAt();
   const auto took = now - this->sent_at;
   if (took < kMaxRefusalResetTime) {
     load.OnRefused(now);
--- a/src/router/server_attempt.h
+++ b/src/router/server_attempt.h
@@ -17,6 +17,11 @@
   auto Run() -> AttemptOutcome;
   /// @return whether the request was sent, completely or in part.
   [[nodiscard]] auto WasSent() const -> bool { return this->was_sent; }
+  /// @return whether the connection broke off before a response and before the
+  ///   deadline, as it does if the server's process ends.
+  [[nodiscard]] auto HasLostConnection() const -> bool {
+    return this->has_lost_connection;
+  }
   /// @return the status of the relayed response; 0 if there was none.
   [[nodiscard]] auto Status() const -> unsigned { return this->status; }
 
@@ -47,6 +52,7 @@
   BackendTarget& target;
   TimePoint sent_at{};
   bool was_sent = false;
+  bool has_lost_connection = false;
   unsigned status = 0;
 };
 
--- a/src/standins/wire/main.cc
+++ b/src/standins/wire/main.cc
@@ -1,5 +1,7 @@
+#include <cstdlib>
 #include <iostream>
 
+#include "program/program.h"
 #include "standins/standin_program.h"
 #include "standins/wire/wire_backend.h"
 #include "standins/wire/wire_store.h"
@@ -70,6 +72,7 @@
   }
   PrintingObserver observer;
   WireBackend server(command.id, &observer);
+  server.SetCrash([] { std::_Exit(kExitFailure); });
   server.behaviour = command.behaviour;
   server.behaviour.work = std::chrono::milliseconds(command.work_ms);
   ServeUntilStopped(command.address, server, HttpLimits().body_bytes,
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -13,6 +13,7 @@
 constexpr auto kMinPause = std::chrono::milliseconds(200);
 /// Requests that arrived during a pause are read within this time after it.
 constexpr auto kBacklogReadTime = std::chrono::milliseconds(200);
+constexpr const char* kDeadlyPath = "/deadly";
 
 auto Header(const HttpRequest& request, const char* name) -> std::string {
   const auto value = request[name];
@@ -149,6 +150,14 @@
   }
   this->deadlines_ms.push_back(
       std::atoi(Header(exchange.Request(), "X-Deadline-Ms").c_str()));
+  const bool is_deadly =
+      exchange.Request().target().find(kDeadlyPath) != boost::string_view::npos;
+  if (is_deadly && this->crash) {
+    --this->running;
+    this->crash();
+    exchange.Abort();
+    return;
+  }
   const auto finish_at = this->clock.Now() + this->behaviour.work;
   bool is_client_gone = false;
   while (this->clock.Now() < finish_at && !is_client_gone) {
--- a/src/standins/wire/wire_backend.h
+++ b/src/standins/wire/wire_backend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -52,6 +53,13 @@
   auto Handle(HttpExchange& exchange) -> void override;
   auto OnBadInput(const std::string& what) -> void override;
 
+  /// Sets what ends the server when it begins to run a request whose path
+  /// contains "/deadly". Its connection is reset then. Without it, the server
+  /// runs such a request like any other.
+  auto SetCrash(std::function<void()> crash) -> void {
+    this->crash = std::move(crash);
+  }
+
   WireBackendBehaviour behaviour;
 
   /// Records pauses of the process (SIGSTOP) while the loop runs; never
@@ -106,6 +114,7 @@
 
   std::string id;
   WireBackendObserver* observer;
+  std::function<void()> crash;
   SteadyClock clock;
   TimePoint last_check{};   ///< Of DetectPauses; zero if it doesn't run.
   TimePoint pause_start{};  ///< Of the last pause.
--- a/tests/keys/load_test.cc
+++ b/tests/keys/load_test.cc
@@ -73,6 +73,33 @@
   EXPECT_THROW(LoadReport::Decode("x"), InputError);
 }
 
+auto MakeQuarantine() -> QuarantineState {
+  RequestQuarantine quarantine;
+  ManualClock clock;
+  quarantine.OnServerEnded({ServerId("a"), std::chrono::milliseconds(1)}, 7,
+                           clock.Now());
+  return quarantine.State(clock.Now());
+}
+
+TEST(LoadReport, CarriesTheQuarantineAndMayLackIt) {
+  LoadReport report;
+  const auto without = LoadReport::Decode(report.Encode());
+  EXPECT_TRUE(without.quarantine.IsEmpty());
+  report.quarantine = MakeQuarantine();
+  const auto with = LoadReport::Decode(report.Encode());
+  EXPECT_EQ(with.quarantine.Encode(), report.quarantine.Encode());
+}
+
+TEST(LoadReportReply, CarriesTheQuarantineAndMayLackIt) {
+  LoadReportReply reply;
+  reply.host_count = 1;
+  const auto without = LoadReportReply::Decode(reply.Encode());
+  EXPECT_TRUE(without.quarantine.IsEmpty());
+  reply.quarantine = MakeQuarantine();
+  const auto with = LoadReportReply::Decode(reply.Encode());
+  EXPECT_EQ(with.quarantine.Encode(), reply.quarantine.Encode());
+}
+
 TEST(LoadAggregator, WeighsServersByTheirLatencies) {
   LoadAggregator aggregator(64);
   ManualClock clock;
--- a/tests/platform_wire/wire_fleet.cc
+++ b/tests/platform_wire/wire_fleet.cc
@@ -14,6 +14,8 @@
 /// How long Send() waits for a response beyond the deadline that it sends.
 constexpr auto kExtraWait = std::chrono::seconds(3);
 constexpr auto kPollInterval = std::chrono::milliseconds(5);
+/// The loop closes a listening socket within this time.
+constexpr auto kListenerCloseTime = std::chrono::milliseconds(40);
 /// The start of each server's first process, in Unix time.
 constexpr std::int64_t kFirstStartMs = 1700000000000;
 
@@ -40,7 +42,8 @@
 
 }  // namespace
 
-WireFleet::WireFleet(std::uint16_t base_port) {
+WireFleet::WireFleet(std::uint16_t base_port, int router_count)
+    : router_count(router_count) {
   this->settings.host = HostId("front-1");
   this->settings.domain = FailureDomain("x");
   this->settings.callers = {"127.0.0.1", base_port};
@@ -54,21 +57,51 @@
                             static_cast<std::uint16_t>(base_port + 19)};
   this->settings.stop_grace = std::chrono::milliseconds(1000);
   this->settings.is_first_start = true;
-  this->client = std::make_unique<TableStoreClient>(this->settings.store);
   this->servers.push_back(std::make_unique<HttpServer>(
       LocalServerOptions(this->settings.store.port), this->store));
   for (int i = 0; i < kBackendCount; ++i) {
     this->backends.push_back(
         std::make_unique<WireBackend>("i-" + std::to_string(i)));
     this->backends.back()->behaviour.is_keyed = i >= 2;
-    this->servers.push_back(std::make_unique<HttpServer>(
-        LocalServerOptions(static_cast<std::uint16_t>(base_port + 10 + i)),
-        *this->backends.back()));
+    this->servers.push_back(nullptr);
+    this->ListenAsServer(i);
     this->Register(i);
   }
   this->PutRoutes(1);
 }
 
+auto WireFleet::ListenAsServer(int number) -> void {
+  const auto port = this->settings.callers.port + 10 + number;
+  this->servers[1 + number] = std::make_unique<HttpServer>(
+      LocalServerOptions(static_cast<std::uint16_t>(port)),
+      *this->backends[number]);
+}
+
+auto WireFleet::EndServer(int number) -> void {
+  this->servers[1 + number]->StopAccepting();
+  this->servers[1 + number]->CloseIdleConnections();
+  SleepFor(kListenerCloseTime);
+}
+
+auto WireFleet::RestartServer(int number) -> void {
+  this->ended_servers.push_back(std::move(this->servers[1 + number]));
+  this->ListenAsServer(number);
+  this->servers[1 + number]->Listen(this->loop);
+  ++this->starts["i-" + std::to_string(number)];
+  this->Register(number);
+}
+
+auto WireFleet::SettingsOf(int router) const -> RouterSettings {
+  auto settings = this->settings;
+  const auto number = std::to_string(router + 1);
+  settings.host = HostId("front-" + number);
+  for (auto* endpoint : {&settings.callers, &settings.readiness,
+                         &settings.peers, &settings.metrics}) {
+    endpoint->address = "127.0.0." + number;
+  }
+  return settings;
+}
+
 auto WireFleet::PutEntry(const std::string& id, const std::string& service,
                          int port_index, const std::string& state) -> void {
   const auto port = this->settings.callers.port + 10 + port_index;
@@ -112,23 +145,30 @@
     for (auto& server : this->servers) server->Listen(this->loop);
     this->loop.Run();
   });
-  this->router = std::make_unique<RouterProcess>(
-      this->settings,
-      RouterDependencies{*this->client, this->grants, this->schema,
-                         this->settings_source, wire::PlatformHeaders()});
-  std::thread router_thread([&] {
-    this->router->Run();
-    this->has_router_stopped = true;
-  });
+  std::vector<std::thread> router_threads;
+  for (int i = 0; i < this->router_count; ++i) {
+    this->routers.push_back(std::make_unique<Router>(this->settings.store));
+    auto& router = *this->routers.back();
+    router.process = std::make_unique<RouterProcess>(
+        this->SettingsOf(i),
+        RouterDependencies{router.client, router.grants, this->schema,
+                           this->settings_source, wire::PlatformHeaders()});
+    router_threads.emplace_back([this, i, &router] {
+      router.process->Run();
+      if (i == 0) this->has_router_stopped = true;
+    });
+  }
   std::atomic<bool> is_done{false};
   this->loop.Spawn([&] {
-    Await([&] { return this->IsReady(); });
+    for (int i = 0; i < this->router_count; ++i) {
+      Await([&] { return this->IsReady(i); });
+    }
     body();
     is_done = true;
   });
   while (!is_done) std::this_thread::sleep_for(kPollInterval);
-  this->router->RequestStop();
-  router_thread.join();
+  for (const auto& router : this->routers) router->process->RequestStop();
+  for (auto& thread : router_threads) thread.join();
   this->loop.Stop();
   standin_thread.join();
 }
@@ -149,11 +189,12 @@
       .body();
 }
 
-auto WireFleet::IsReady() -> bool {
+auto WireFleet::IsReady(int router) -> bool {
+  const auto readiness = this->SettingsOf(router).readiness;
   try {
-    const auto response = Fetch(
-        this->settings.readiness.address, this->settings.readiness.port,
-        HttpRequest{http::verb::get, "/ready", 11}, std::chrono::seconds(1));
+    const auto response = Fetch(readiness.address, readiness.port,
+                                HttpRequest{http::verb::get, "/ready", 11},
+                                std::chrono::seconds(1));
     return response.result() == http::status::ok;
   } catch (const RequestError&) {
     return false;
@@ -162,7 +203,8 @@
 
 auto WireFleet::Send(const std::string& path, const std::string& id,
                      http::verb method, int key,
-                     std::chrono::milliseconds deadline) -> HttpResponse {
+                     std::chrono::milliseconds deadline, int router)
+    -> HttpResponse {
   HttpRequest request{method, path, 11};
   request.set(http::field::host, "h.example");
   request.set("X-Request-Id", id);
@@ -170,7 +212,8 @@
   if (key >= 0) request.set("X-Shard-Key", std::to_string(key));
   if (method == http::verb::post) request.body() = "order";
   request.prepare_payload();
-  HttpConnection connection("127.0.0.1", this->settings.callers.port);
+  const auto callers = this->SettingsOf(router).callers;
+  HttpConnection connection(callers.address, callers.port);
   connection.Connect(std::chrono::seconds(1));
   HttpResponse response;
   const auto timeout = deadline + kExtraWait;
--- a/tests/platform_wire/wire_fleet.h
+++ b/tests/platform_wire/wire_fleet.h
@@ -24,15 +24,17 @@
   auto Poll() -> std::optional<RouterSettings> override { return std::nullopt; }
 };
 
-/// A RouterProcess with stand-ins for the store and the backend servers, all on
-/// loopback ports of the test process. The router runs on a thread of its own;
-/// the stand-ins and the test's body run on one loop.
+/// RouterProcesses with stand-ins for the store and the backend servers, all on
+/// loopback ports of the test process. Each router runs on a thread of its own;
+/// the stand-ins and the test's body run on one loop. Where a method says "the
+/// router", it means the first one.
 class WireFleet {
  public:
   /// @param base_port  the first of 20 consecutive ports.
-  explicit WireFleet(std::uint16_t base_port);
+  /// @param router_count  router number i listens on 127.0.0.(i + 1).
+  explicit WireFleet(std::uint16_t base_port, int router_count = 1);
 
-  /// Runs the body in a fiber once the router is ready, then stops the router.
+  /// Runs the body in a fiber once the routers are ready, then stops them.
   auto Run(const std::function<void()>& body) -> void;
 
   [[nodiscard]] auto Store() -> WireStore& { return this->store; }
@@ -47,21 +49,28 @@
   /// that of server number `port_index`.
   auto RegisterStaleEntry(const std::string& id, const std::string& service,
                           int port_index) -> void;
+  /// Stops the server with this number like the end of its process, which
+  /// breaks off its connections and refuses new ones.
+  auto EndServer(int number) -> void;
+  /// Starts a server that has ended, as a new process.
+  auto RestartServer(int number) -> void;
   /// Removes the server's entry.
   auto Unregister(int number) -> void;
   auto PutRoutes(int version, const std::string& extra_route = "") -> void;
   /// Requests the router to stop; does not wait for it.
-  auto StopRouter() -> void { this->router->RequestStop(); }
+  auto StopRouter() -> void { this->routers.front()->process->RequestStop(); }
   [[nodiscard]] auto HasRouterStopped() const -> bool {
     return this->has_router_stopped;
   }
 
-  /// Sends one request to the router on a new connection.
+  /// Sends one request to a router on a new connection.
   /// @param key  sent as the shard key unless it is negative.
-  auto Send(const std::string& path, const std::string& id,
-            http::verb method = http::verb::get, int key = -1,
-            std::chrono::milliseconds deadline =
-                std::chrono::milliseconds(2000)) -> HttpResponse;
+  /// @param router  number of the router.
+  auto Send(
+      const std::string& path, const std::string& id,
+      http::verb method = http::verb::get, int key = -1,
+      std::chrono::milliseconds deadline = std::chrono::milliseconds(2000),
+      int router = 0) -> HttpResponse;
   /// Sends bytes to the router.
   /// @param between  called before `rest` is sent.
   /// @return all that the router sends until it closes the connection.
@@ -75,7 +84,8 @@
   [[nodiscard]] auto CallersPort() const -> std::uint16_t {
     return this->settings.callers.port;
   }
-  [[nodiscard]] auto IsReady() -> bool;
+  /// @param router  number of the router.
+  [[nodiscard]] auto IsReady(int router = 0) -> bool;
   /// @return the router's metrics page.
   [[nodiscard]] auto Metrics() -> std::string;
   /// Waits until the condition holds.
@@ -85,6 +95,18 @@
   [[nodiscard]] auto RunCount(const std::string& id) const -> int;
 
  private:
+  /// A router with clients of its own, as they are used on its thread.
+  struct Router {
+    explicit Router(const Endpoint& store) : client(store) {}
+
+    TableStoreClient client;
+    PlatformGrantClient grants;
+    std::unique_ptr<RouterProcess> process;
+  };
+
+  auto ListenAsServer(int number) -> void;
+  /// @return the settings of the router with this number.
+  [[nodiscard]] auto SettingsOf(int router) const -> RouterSettings;
   auto PutEntry(const std::string& id, const std::string& service,
                 int port_index, const std::string& state) -> void;
 
@@ -96,11 +118,12 @@
   WireStore store;
   std::vector<std::unique_ptr<WireBackend>> backends;
   std::vector<std::unique_ptr<HttpServer>> servers;
+  /// Those that have ended; their connections may still be closing.
+  std::vector<std::unique_ptr<HttpServer>> ended_servers;
   UnchangingSettings settings_source;
   PlatformSchema schema;
-  PlatformGrantClient grants;
-  std::unique_ptr<TableStoreClient> client;
-  std::unique_ptr<RouterProcess> router;
+  int router_count;
+  std::vector<std::unique_ptr<Router>> routers;
   std::atomic<bool> has_router_stopped{false};
 };
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,7 @@
 
     def __init__(self, number, kind, service, key):
         self.id = f"{number:08x}"
+        self.path = f"/{service}/{kind}/a"
         self.kind, self.service, self.key = kind, service, key
         self.router = None
         self.written_at = None    # when the request was written to the connection
@@ -64,17 +65,19 @@
         except (OSError, asyncio.TimeoutError):
             return False
 
+    def new_request(self, kind, service):
+        return Request(len(self.requests), kind, service, self.random.randrange(65536))
+
     async def send(self, kind, service):
-        key = self.random.randrange(65536)
-        request = Request(len(self.requests), kind, service, key)
+        request = self.new_request(kind, service)
         self.requests.append(request)
         if not self.connection and not await self.connect():
             return request
         request.router = self.router.name
         method = "POST" if kind == "unsafe" else "GET"
         body = "order" if kind == "unsafe" else ""
-        head = (f"{method} /{service}/{kind}/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request.id}\r\n"
-                f"X-Shard-Key: {key}\r\nX-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
+        head = (f"{method} {request.path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request.id}\r\n"
+                f"X-Shard-Key: {request.key}\r\nX-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n{body}")
         try:
             self.connection[1].write(head.encode())
@@ -107,3 +110,22 @@
             request.problem = f"status {status} for a valid request"
         if headers.get("connection", "").lower() == "close":
             self.close()
+
+
+class DeadlyCaller(Caller):
+    """Sends one request, which ends each server that runs it, again and again."""
+
+    FIRST_NUMBER = 0xdead0000   # apart from the numbers of other requests
+    KEY = 7
+
+    def new_request(self, kind, service):
+        request = Request(self.FIRST_NUMBER + len(self.requests), kind, service, self.KEY)
+        request.path = f"/{service}/{kind}/deadly"
+        return request
+
+    async def run(self, rate):
+        """Sends the request on new connections until it is cancelled; rate is the mean number per second."""
+        while True:
+            await self.send("safe", "fragile")
+            self.close()
+            await asyncio.sleep(self.random.expovariate(rate))
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,7 +13,7 @@
     runs = collections.defaultdict(list)
     leases = []                   # (first, last, from, until, incarnation)
     grants = []                   # (time, first, last, token, incarnation)
-    for server in deployment.servers:
+    for server in deployment.all_servers:
         for server_id, started_ms, path in server.logs:
             incarnation = (server_id, started_ms)
             open_leases = {}
@@ -114,6 +114,23 @@
     return violations
 
 
+def check_deadly_request(requests, runs, disturbed, sharing_time_s):
+    """Once three processes have ended under a request and the routers had time to share this, it is sent at most thrice.
+
+    requests: its repetitions. disturbed: (router, from, until) of the times in which a router need not know of it."""
+    ends = {}                     # incarnation -> the time of its first run
+    for at, _, incarnation in sorted(run for request in requests for run in runs.get(request.id, [])):
+        ends.setdefault(incarnation, at)
+    if len(ends) < 3:
+        return []
+    shared_at = sorted(ends.values())[2] / 1e6 + sharing_time_s
+    late = [r for r in requests if r.written_at and r.written_at > shared_at and runs.get(r.id)
+            and not any(r.router == router and begin <= r.written_at <= end for router, begin, end in disturbed)]
+    if len(late) <= 3:
+        return []
+    return [f"the deadly request was sent to servers {len(late)} times more, first as {late[0].id} by {late[0].router}"]
+
+
 def check_graceful_stops(requests, runs, undisturbed_stops):
     """A router that stops without any other fault completes the requests that a server runs.
 
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -67,6 +67,17 @@
         self.assertEqual(len(checks.check_graceful_stops([cut], runs, [("front-0", 0.5, 2.0)])), 1)
         self.assertEqual(checks.check_graceful_stops([cut], runs, [("front-1", 0.5, 2.0)]), [])
 
+    def test_deadly_request_goes_on_reaching_servers(self):
+        sent = [request(i, kind="safe", at=float(i)) for i in range(1, 12)]
+
+        def violations(runs_until, disturbed=()):
+            runs = {r.id: [(int(r.written_at * 1e6), 7, ("i", r.written_at))] for r in sent[:runs_until]}
+            return checks.check_deadly_request(sent, runs, disturbed, 3.0)
+        self.assertEqual(len(violations(10)), 1)
+        self.assertEqual(violations(9), [])
+        self.assertEqual(violations(10, [("front-0", 6.5, 7.5)]), [])
+        self.assertEqual(len(violations(10, [("front-1", 6.5, 7.5)])), 1)
+
     def test_requests_not_served_after_recovery(self):
         self.assertEqual(len(checks.check_recovery([request(1, outcome=503)], 0.5)), 1)
         self.assertEqual(len(checks.check_recovery([], 0.5)), 1)
@@ -88,7 +99,7 @@
             log.write_text("hold 10 0 31 5 100\nhold 50 0 31 5 100\nhold 55 32 63 5 -1\n"
                            "run 60 ab 7\nrelease 70 0 31 6\n")
             server = types.SimpleNamespace(logs=[("i-1", 3, log)])
-            runs, leases, grants = checks.read_server_logs(types.SimpleNamespace(servers=[server]))
+            runs, leases, grants = checks.read_server_logs(types.SimpleNamespace(all_servers=[server]))
         self.assertEqual(runs["ab"], [(60, 7, ("i-1", 3))])
         self.assertEqual(leases, [(0, 31, 10, 70, ("i-1", 3)), (32, 63, 55, 54, ("i-1", 3))])
         self.assertEqual(grants, [(10, 0, 31, 5, ("i-1", 3)), (50, 0, 31, 5, ("i-1", 3))])
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,8 +15,9 @@
 HEARTBEAT_TTL_S = 2.6  # an entry expires after three missed heartbeats
 RECOVERY_TIME_S = 15.0  # time that the routers have to recover after the last fault
 STOP_GRACE_S = 3.0
+CRASH_RESTART_DELAY_S = 2.0  # until a server that crashed runs again
 REWRITE_DELAY_S = 0.7  # from a restore of the store until its other writers write again
-SERVICES = {"keyed": True, "plain": False}
+SERVICES = {"keyed": True, "plain": False, "fragile": False}
 
 
 class Process:
@@ -91,15 +92,15 @@
 
 
 class Server:
-    """One backend server; `process` is its current process. Routers reach it through `link`."""
+    """One backend server; `process` is its current process. Routers reach it through `link`, if it has one."""
 
-    def __init__(self, deployment, service, number):
+    def __init__(self, deployment, service, number, is_direct=False):
         self.deployment, self.service = deployment, service
         self.number = number
         self.port = deployment.port + 200 + number
         self.start_count = 0
         self.id = f"i-{service}-{number}"
-        self.link = Proxy("127.0.0.1", deployment.port + 300 + number, ("127.0.0.1", self.port))
+        self.link = None if is_direct else Proxy("127.0.0.1", deployment.port + 300 + number, ("127.0.0.1", self.port))
         self.process = None
         self.stored_entry = None  # its row in the store
         self.is_draining = False
@@ -124,7 +125,8 @@
             return None
         if process.paused_at and time.monotonic() - process.paused_at > HEARTBEAT_TTL_S:
             return None
-        return {"service": self.service, "addr": f"127.0.0.1:{self.link.port}", "zone": "x", "version": "v1",
+        port = self.link.port if self.link else self.port
+        return {"service": self.service, "addr": f"127.0.0.1:{port}", "zone": "x", "version": "v1",
                 "slots": 4, "state": "draining" if self.is_draining else "ready", "coldLeftS": 0,
                 "seq": 1, "born": self.started_ms}
 
@@ -132,7 +134,7 @@
 class Deployment:
     """The store, the routers and the backend servers of one run."""
 
-    def __init__(self, build, out, port, routers=4, keyed=5, plain=3):
+    def __init__(self, build, out, port, routers=4, keyed=5, plain=3, fragile=3):
         self.build, self.out, self.port = pathlib.Path(build).resolve(), pathlib.Path(out), port
         shutil.rmtree(self.out, ignore_errors=True)
         self.out.mkdir(parents=True)
@@ -140,6 +142,10 @@
         self.routers = [Router(self, i) for i in range(routers)]
         services = ["keyed"] * keyed + ["plain"] * plain
         self.servers = [Server(self, s, i) for i, s in enumerate(services)]
+        # No faults are injected into these, but some requests crash them. A proxy would accept connections
+        # to a process that has ended, so they have none.
+        self.fragile_servers = [Server(self, "fragile", len(services) + i, is_direct=True) for i in range(fragile)]
+        self.all_servers = self.servers + self.fragile_servers
         self.config_version = 0
         self.old_processes = []   # of earlier starts
 
@@ -150,6 +156,7 @@
             await new_router.store_link.start()
         for server in self.servers:
             await server.link.start()
+        for server in self.all_servers:
             server.start()
         await self._retry(lambda: self.put("op", "config", self.next_config()))
         for router in self.routers:
@@ -207,12 +214,22 @@
     async def sync_entries(self):
         """Writes and removes the servers' rows, as their heartbeats would, until it is cancelled."""
         while True:
-            for server in self.servers:
+            for server in self.all_servers:
                 expected = server.expected_entry()
                 if expected != server.stored_entry and await self.put("servers", server.id, expected):
                     server.stored_entry = expected
             await asyncio.sleep(0.1)
 
+    async def restart_fragile(self, server, log_event):
+        """Starts the server again some time after each of its crashes, until it is cancelled."""
+        while True:
+            await asyncio.sleep(0.05)
+            if server.process.is_up():
+                continue
+            log_event(f"{server.id} crashed")
+            await asyncio.sleep(CRASH_RESTART_DELAY_S)
+            server.start()
+
     def clear_faults(self):
         for proxy in [r.store_link for r in self.routers] + [s.link for s in self.servers]:
             proxy.clear_faults()
@@ -223,6 +240,6 @@
         return [f"{name} exited with code {p.popen.returncode}" for name, p in processes if not p.is_exit_expected()]
 
     def stop(self):
-        current = [self.store] + [p.process for p in self.routers + self.servers]
+        current = [self.store] + [p.process for p in self.routers + self.all_servers]
         for process in [p for p in current if p] + self.old_processes:
             process.kill_and_wait()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,11 +12,13 @@
 import time
 
 import checks
-from callers import Caller
+from callers import Caller, DeadlyCaller
 from deployment import RECOVERY_TIME_S, STOP_GRACE_S, Deployment
 
 CALLER_COUNT = 12
 REQUESTS_PER_CALLER_S = 5
+DEADLY_REQUESTS_PER_S = 3
+SHARING_TIME_S = 3.0      # time in which undisturbed routers share which request ends servers
 RECOVERY_CHECK_S = 3.0    # time after the recovery whose requests must be served
 FAULT_EFFECT_S = 3.0      # the effects of a fault may last this long after it
 PLANNED_ONLY_SEED_STEP = 4  # every 4th seed has planned maintenance only
@@ -35,6 +37,7 @@
         self.server_killed_at = {}    # (id, started_ms) -> when it was killed, in us
         self.unplanned_faults = []    # (from, until) of faults that are not planned
         self.router_stops = []        # (router, from, until)
+        self.router_outages = []      # (router, from, until) of all pauses and restarts
         self.is_store_restoring = False
         self.late_stops = []          # routers that did not stop within the grace period
 
@@ -65,9 +68,14 @@
         if not router.process.is_up() or router.term_at:
             return
         self.log_event(f"kill {router.name}")
+        began = time.monotonic()
         router.process.try_signal(signal.SIGKILL)
         await asyncio.sleep(self.random.uniform(0.2, 2))
         self.restart(router)
+        self.record_outage(router, began)
+
+    def record_outage(self, router, began):
+        self.router_outages.append((router.name, began, time.monotonic() + SHARING_TIME_S))
 
     def restart(self, router):
         router.process.popen.wait()
@@ -81,9 +89,11 @@
         if not process.is_up() or process.paused_at or router.term_at:
             return
         self.log_event(f"pause {router.name}")
+        began = time.monotonic()
         process.pause()
         await asyncio.sleep(self.random.uniform(0.2, 6))
         process.resume()
+        self.record_outage(router, began)
         self.log_event(f"resume {router.name}")
 
     async def router_stop(self):
@@ -100,6 +110,7 @@
             self.late_stops.append(router.name)
         router.process.try_signal(signal.SIGKILL)
         self.restart(router)
+        self.record_outage(router, began)
 
     def pick_server(self):
         """A random server that runs and is neither paused nor draining; None if there is none."""
@@ -202,7 +213,7 @@
     out = pathlib.Path(options.out) / str(seed)
     port = BASE_PORT + (seed % 8) * PORTS_PER_RUN
     deployment = Deployment(options.build, out, port)
-    requests = []
+    requests, deadly_requests = [], []
     with open(out / "history.log", "w", encoding="utf-8") as log:
         injector = FaultInjector(deployment, seed, log)
         try:
@@ -212,6 +223,10 @@
             callers = [Caller(deployment, requests, seed * 1000 + i) for i in range(CALLER_COUNT)]
             until = time.monotonic() + options.length
             tasks = [asyncio.create_task(c.run(REQUESTS_PER_CALLER_S)) for c in callers]
+            deadly_caller = DeadlyCaller(deployment, deadly_requests, seed)
+            tasks.append(asyncio.create_task(deadly_caller.run(DEADLY_REQUESTS_PER_S)))
+            tasks += [asyncio.create_task(deployment.restart_fragile(s, injector.log_event))
+                      for s in deployment.fragile_servers]
             await injector.run(until)
             deployment.clear_faults()
             injector.log_event("all faults are over")
@@ -226,7 +241,8 @@
     runs, leases, grants = checks.read_server_logs(deployment)
     violations = unexpected_exits + [f"{name} did not stop within its grace period" for name in injector.late_stops]
     violations += checks.check_responses(requests)
-    violations += checks.check_executions(requests, runs)
+    violations += checks.check_executions(requests + deadly_requests, runs)
+    violations += checks.check_deadly_request(deadly_requests, runs, injector.router_outages, SHARING_TIME_S)
     violations += checks.check_single_holder(leases, injector.server_killed_at)
     violations += checks.check_single_owner(runs, leases, injector.server_killed_at)
     violations += checks.check_rising_tokens(grants)
