Run a suspect request once at a time, of all hosts together

While the key has no owner, repetitions are refused and come back; its next owner gets all of them at the same moment, from all hosts.

Change: from the first end of a server on, a host asks the coordinator for a permit before it sends the request, and only one repetition has it at a time. The reply brings the coordinator's knowledge along, so that a further end is known to the next one that asks. Without the coordinator, a host admits one at a time by itself. Permits are per fingerprint, so requests that ran beside it don't wait.

Evidence: DeadlyRequest.RunsOnceAtATimeOfAllHostsOnceAServerHasEnded sends four repetitions at two hosts at once; one runs.

--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -17,3 +17,4 @@
 #include "policy/server_end_log.h"
 #include "policy/server_queue.h"
 #include "policy/service_times.h"
+#include "policy/trial_permits.h"
--- a/src/policy/request_quarantine.cc
+++ b/src/policy/request_quarantine.cc
@@ -100,6 +100,13 @@
   return this->ends.CountSince(request, TimePoint{}) >= kMaxEndsPerRequest;
 }
 
+auto RequestQuarantine::IsSuspect(RequestFingerprint request) const -> bool {
+  const auto it = this->quarantined.find(request);
+  const bool is_on_probation =
+      it != this->quarantined.end() && !it->second.is_cleared;
+  return is_on_probation || this->ends.CountSince(request, TimePoint{}) != 0;
+}
+
 auto RequestQuarantine::TimeUntilRelease(RequestFingerprint request,
                                          TimePoint now) const
     -> std::optional<Duration> {
--- a/src/policy/request_quarantine.h
+++ b/src/policy/request_quarantine.h
@@ -39,6 +39,9 @@
   [[nodiscard]] auto TimeUntilRelease(RequestFingerprint request,
                                       TimePoint now) const
       -> std::optional<Duration>;
+  /// @return whether a server has ended under the request and none has answered
+  ///   it since. Its repetitions should run one at a time.
+  [[nodiscard]] auto IsSuspect(RequestFingerprint request) const -> bool;
   /// @return what is to be sent to other hosts.
   [[nodiscard]] auto State(TimePoint now) const -> QuarantineState;
   /// @return a number that changes when a request is quarantined or cleared.
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -18,6 +18,8 @@
 constexpr auto kMinAttemptTime = std::chrono::milliseconds(20);
 /// Retry-After while the routes or the key's owner are unknown or outdated.
 constexpr auto kNotReadyRetryAfter = std::chrono::milliseconds(300);
+/// Retry-After while a repetition of a suspect request runs.
+constexpr auto kSuspectRetryAfter = std::chrono::milliseconds(300);
 /// Retry-After if no server is available.
 constexpr auto kNoRoomRetryAfter = std::chrono::milliseconds(200);
 /// Retry-After while the process stops; the retry reaches another host.
@@ -46,6 +48,7 @@
     if (this->request.upstream != nullptr) this->request.upstream->Cancel();
   });
   this->Forward();
+  this->quarantine_check.EndTrial();
 }
 
 auto ForwardedRequest::FindRoute() -> bool {
@@ -78,7 +81,7 @@
   this->request.state.RetryBudgetFor(this->request.service).OnRequest();
   this->RecordKeyLoad();
   while (!this->HasClientDisconnected()) {
-    if (this->RefuseIfQuarantined()) return;
+    if (this->RefuseIfSuspect()) return;
     const auto target = this->ChooseTarget();
     if (target == nullptr) return;
     if (this->WouldOutlastStop(*target)) {
@@ -106,6 +109,16 @@
   this->request.exchange.Abort();
 }
 
+auto ForwardedRequest::RefuseIfSuspect() -> bool {
+  if (this->RefuseIfQuarantined()) return true;
+  if (!this->quarantine_check.TryStartTrial()) {
+    this->Refuse("suspect", kSuspectRetryAfter);
+    return true;
+  }
+  // It may have been quarantined while the permit was acquired.
+  return this->RefuseIfQuarantined();
+}
+
 auto ForwardedRequest::RefuseIfQuarantined() -> bool {
   const auto wait = this->quarantine_check.TimeUntilRelease();
   if (!wait) return false;
@@ -230,6 +243,7 @@
   if (attempt.HasLostConnection()) {
     this->quarantine_check.OnConnectionLost(target.entry);
   }
+  this->quarantine_check.EndTrial();
   return outcome;
 }
 
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -30,8 +30,10 @@
   /// Sends the request to one server after another until one responds or it
   /// can't be retried.
   auto Forward() -> void;
-  /// Refuses the request if it is quarantined.
+  /// Refuses the request if it is quarantined, or if it is a suspect and a
+  /// repetition of it runs.
   /// @return whether it was refused.
+  auto RefuseIfSuspect() -> bool;
   auto RefuseIfQuarantined() -> bool;
   /// @return whether the process stops before this server is expected to
   ///   respond.
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -19,6 +19,7 @@
 constexpr const char* kReportPath = "/loads";
 constexpr const char* kUpdatePath = "/owners";
 constexpr const char* kOwnersPath = "/owners-since";
+constexpr const char* kTrialPath = "/trials";
 
 auto FormatEndpoint(const Endpoint& endpoint) -> std::string {
   return endpoint.address + ":" + std::to_string(endpoint.port);
@@ -225,6 +226,70 @@
   }
 }
 
+auto PeerExchange::IsInContact() const -> bool {
+  return this->clock.Now() - this->last_contact_at <= kContactTimeout;
+}
+
+auto PeerExchange::Acquire(RequestFingerprint request, Duration length)
+    -> bool {
+  if (!this->coordinator->IsActive()) {
+    const auto granted = this->SendTrial(
+        {request, false, length, this->quarantine.State(this->clock.Now())});
+    if (granted) return *granted;
+  }
+  return this->permits.Acquire(request, length, this->clock.Now());
+}
+
+auto PeerExchange::Release(RequestFingerprint request) -> void {
+  this->permits.Release(request);
+  if (this->coordinator->IsActive()) return;
+  TrialMessage message{request, true, Duration(0),
+                       this->quarantine.State(this->clock.Now())};
+  FiberLoop::Current().Spawn(
+      [this, message = std::move(message)] { this->SendTrial(message); });
+}
+
+auto PeerExchange::SendTrial(const TrialMessage& message)
+    -> std::optional<bool> {
+  const auto endpoint = ParseEndpoint(this->coordinator->ReportEndpoint());
+  if (!this->IsInContact() || endpoint.port == 0) return std::nullopt;
+  try {
+    const auto response = Post(endpoint, kTrialPath, message.Encode());
+    const bool is_granted = response.result() == http::status::ok;
+    if (!is_granted && response.result() != http::status::conflict) {
+      return std::nullopt;
+    }
+    this->quarantine.Merge(QuarantineState::Decode(response.body()),
+                           this->clock.Now());
+    return is_granted;
+  } catch (const Error& error) {
+    Log(events::kReportLost, {{"keeper", FormatEndpoint(endpoint)},
+                              {"path", kTrialPath},
+                              {"error", error.what()}});
+  }
+  return std::nullopt;
+}
+
+auto PeerExchange::HandleTrial(HttpExchange& exchange) -> void {
+  if (!this->coordinator->IsActive()) {
+    exchange.Send(HttpResponse{http::status::service_unavailable, 11});
+    return;
+  }
+  const auto message = TrialMessage::Decode(exchange.Request().body());
+  const auto now = this->clock.Now();
+  this->quarantine.Merge(message.quarantine, now);
+  bool is_granted = true;
+  if (message.is_release) {
+    this->permits.Release(message.request);
+  } else {
+    is_granted = this->permits.Acquire(message.request, message.length, now);
+  }
+  HttpResponse response{is_granted ? http::status::ok : http::status::conflict,
+                        11};
+  response.body() = this->quarantine.State(now).Encode();
+  exchange.Send(std::move(response));
+}
+
 auto PeerExchange::Handle(HttpExchange& exchange) -> void {
   const auto& request = exchange.Request();
   try {
@@ -232,6 +297,10 @@
       this->HandleReport(exchange);
       return;
     }
+    if (request.target() == kTrialPath) {
+      this->HandleTrial(exchange);
+      return;
+    }
     if (request.target() == kOwnersPath) {
       this->HandleOwnersRequest(exchange);
       return;
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "http/http.h"
 #include "keys/keys.h"
 #include "router/owner_directory.h"
 #include "router/router_settings.h"
+#include "router/suspect_trials.h"
+#include "router/trial_message.h"
 
 namespace currantbeam {
 
@@ -14,7 +17,7 @@
 /// the host whose KeyCoordinator is active, and that host pushes changes of
 /// owners at once to the hosts that report. Messages may be lost; owners are
 /// then read from the coordinator or the store. Runs on one loop.
-class PeerExchange : public HttpHandler {
+class PeerExchange : public HttpHandler, public SuspectTrials {
  public:
   /// @param first_contact_timeout  how long a host that starts waits for the
   ///   coordinator before it reads the owners from the store.
@@ -29,6 +32,11 @@
   /// to this host's owners.
   auto Publish(const OwnerUpdate& update) -> void;
 
+  /// Asks the coordinator. While it is unreachable, one repetition at a time
+  /// may be sent by this host.
+  auto Acquire(RequestFingerprint request, Duration length) -> bool override;
+  auto Release(RequestFingerprint request) -> void override;
+
   auto Handle(HttpExchange& exchange) -> void override;
   auto OnBadInput(const std::string& what) -> void override;
 
@@ -62,6 +70,14 @@
   /// Responds with the owners that are newer than the versions in the request;
   /// 503 unless the coordinator is active.
   auto HandleOwnersRequest(HttpExchange& exchange) -> void;
+  /// Grants or takes back a permit for another host; 503 unless the
+  /// coordinator is active.
+  auto HandleTrial(HttpExchange& exchange) -> void;
+  /// @return whether the coordinator granted or refused the permit, or took it
+  ///   back; nothing if it did not respond.
+  auto SendTrial(const TrialMessage& message) -> std::optional<bool>;
+  /// @return whether the coordinator accepted a report recently.
+  [[nodiscard]] auto IsInContact() const -> bool;
   [[nodiscard]] auto HasReportedRecently(const Peer& peer) const -> bool;
   auto SendUpdate(const Endpoint& endpoint, const std::string& body) -> void;
   /// Reads the owners from the coordinator, or from the store if that fails.
@@ -81,6 +97,7 @@
   KeyCoordinator* coordinator = nullptr;
   HttpServer server;
   std::map<HostId, Peer> peers;
+  TrialPermits permits;
   TimePoint last_contact_at{};  ///< Of the last report that was accepted.
 };
 
--- a/src/router/quarantine_check.cc
+++ b/src/router/quarantine_check.cc
@@ -12,6 +12,21 @@
                                            state.clock.Now());
 }
 
+auto QuarantineCheck::TryStartTrial() -> bool {
+  auto& state = this->request.state;
+  if (state.trials == nullptr || state.quarantine.IsIdle()) return true;
+  if (!state.quarantine.IsSuspect(this->Fingerprint())) return true;
+  this->has_permit =
+      state.trials->Acquire(this->Fingerprint(), this->request.TimeLeft());
+  return this->has_permit;
+}
+
+auto QuarantineCheck::EndTrial() -> void {
+  if (!this->has_permit) return;
+  this->has_permit = false;
+  this->request.state.trials->Release(this->Fingerprint());
+}
+
 auto QuarantineCheck::OnAnswered() -> void {
   auto& quarantine = this->request.state.quarantine;
   if (!quarantine.IsIdle()) quarantine.OnAnswered(this->Fingerprint());
--- a/src/router/quarantine_check.h
+++ b/src/router/quarantine_check.h
@@ -18,6 +18,12 @@
   /// @return the time until the request may be sent to a server; nothing if it
   ///   may be sent now.
   auto TimeUntilRelease() -> std::optional<Duration>;
+  /// Call before each attempt. Acquires the permit for a suspect request.
+  /// @return false while a repetition of the request runs elsewhere.
+  auto TryStartTrial() -> bool;
+  /// Returns the permit, if there is one. Call after each attempt, and if there
+  /// is none after all.
+  auto EndTrial() -> void;
   /// Call when a server has answered the request.
   auto OnAnswered() -> void;
   /// Call when the connection to the server broke off before a response. Blocks
@@ -29,6 +35,7 @@
 
   RequestContext& request;
   std::optional<RequestFingerprint> fingerprint;
+  bool has_permit = false;
 };
 
 }  // namespace currantbeam
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -15,6 +15,7 @@
 #include "router/request_metrics.h"
 #include "router/route_table.h"
 #include "router/stop_schedule.h"
+#include "router/suspect_trials.h"
 
 namespace currantbeam {
 
@@ -44,6 +45,7 @@
   RequestMetrics metrics;
   RequestQuarantine quarantine;
   EndedServerProbe ended_server_probe;
+  SuspectTrials* trials = nullptr;  ///< Null: suspect requests run at any time.
   ActiveRequests active_requests;
   StopSchedule stop;
   std::unordered_map<ServiceName, RetryBudget> retry_budgets;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -105,6 +105,7 @@
       reload_signal(this->loop, [this] { this->PollSettings(); }) {}
 
 auto RouterProcess::Run() -> void {
+  this->state.trials = &this->peer_exchange;
   this->ApplyFleetSize();
   this->caller_server.Listen(this->loop);
   this->readiness_server.Listen(this->loop);
--- a/tests/platform_wire/deadly_request_test.cc
+++ b/tests/platform_wire/deadly_request_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 
 #include "platform_wire/wire_fleet.h"
@@ -19,6 +20,7 @@
   DeadlyRequest() {
     for (int i = 0; i < 2; ++i) {
       this->fleet.Backend(i).SetCrash([this, i] {
+        SleepFor(this->crash_delay);
         ++this->ends;
         this->fleet.EndServer(i);
         FiberLoop::Current().Spawn([this, i] {
@@ -50,6 +52,7 @@
   WireFleet fleet{27380, kHosts};
   int ends = 0;
   int send_count = 0;
+  std::chrono::milliseconds crash_delay{0};  ///< After a server begins to run.
 };
 
 TEST_F(DeadlyRequest, StopsReachingServersAtAllHostsOnceThreeHaveEnded) {
@@ -72,6 +75,28 @@
   });
 }
 
+TEST_F(DeadlyRequest, RunsOnceAtATimeOfAllHostsOnceAServerHasEnded) {
+  this->crash_delay = std::chrono::milliseconds(300);
+  this->fleet.Run([&] {
+    this->Send("/order/deadly", http::verb::post, 0);
+    SleepFor(kExchangeTime);
+    int running = 2 * kHosts;
+    std::map<std::string, int> bodies;
+    for (int i = 0; i < 2 * kHosts; ++i) {
+      FiberLoop::Current().Spawn([&, i] {
+        const auto response =
+            this->Send("/order/deadly", http::verb::post, i % kHosts);
+        ++bodies[response.body()];
+        --running;
+      });
+    }
+    EXPECT_TRUE(WireFleet::Await([&] { return running == 0; }));
+    EXPECT_EQ(bodies["no-answer\n"], 1);
+    EXPECT_EQ(bodies["suspect\n"], 2 * kHosts - 1);
+    EXPECT_EQ(this->ends, 2);
+  });
+}
+
 TEST_F(DeadlyRequest, IsAnsweredAsPerhapsRunIfItsRetryIsRefused) {
   this->fleet.Run([&] {
     bool was_retry_refused = false;
--- a/tests/policy/request_quarantine_test.cc
+++ b/tests/policy/request_quarantine_test.cc
@@ -180,6 +180,34 @@
   EXPECT_FALSE(other.TimeUntilRelease(kDeadly, this->now));
 }
 
+TEST_F(Quarantine, SuspectsARequestUntilAServerAnswersIt) {
+  EXPECT_FALSE(this->quarantine.IsSuspect(kDeadly));
+  this->EndServers(1, 1);
+  EXPECT_TRUE(this->quarantine.IsSuspect(kDeadly));
+  EXPECT_FALSE(this->quarantine.IsSuspect(kInnocent));
+  this->quarantine.OnAnswered(kDeadly);
+  EXPECT_FALSE(this->quarantine.IsSuspect(kDeadly));
+}
+
+TEST_F(Quarantine, SuspectsARequestAfterItsRelease) {
+  this->EndServers(1, 3);
+  this->Wait(kFirstQuarantine);
+  EXPECT_TRUE(this->MayRun(kDeadly));
+  EXPECT_TRUE(this->quarantine.IsSuspect(kDeadly));
+}
+
+TEST(TrialPermits, LetOneRepetitionRunAtATime) {
+  TrialPermits permits;
+  const TimePoint now{seconds(1000)};
+  EXPECT_TRUE(permits.Acquire(kDeadly, seconds(2), now));
+  EXPECT_FALSE(permits.Acquire(kDeadly, seconds(2), now + seconds(1)));
+  EXPECT_TRUE(permits.Acquire(kInnocent, seconds(2), now));
+  permits.Release(kDeadly);
+  EXPECT_TRUE(permits.Acquire(kDeadly, seconds(2), now + seconds(1)));
+  EXPECT_TRUE(permits.Acquire(kDeadly, seconds(2), now + seconds(3)));
+  EXPECT_EQ(permits.Size(), 1U);
+}
+
 /// A host of the merge test: what it observed in a random order.
 auto ArbitraryState(TimePoint now) -> QuarantineState {
   RequestQuarantine host;
