Tell full servers from ended ones, and keep a permit for all attempts

Cause: a server that is full refuses connections, so 9 requests whose connection had broken off became suspects of servers that went on answering. Their retries were refused because a request returned its permit after each attempt, in a fiber of its own, and asked for the next one before that arrived.

Change: an answer of the process between 0.1 and 1 s after its supposed end clears the requests that it ran. A request keeps its permit until its last attempt.

--- a/src/policy/request_quarantine.cc
+++ b/src/policy/request_quarantine.cc
@@ -8,6 +8,9 @@
 namespace currantbeam {
 namespace {
 
+/// From the end of a server until its last response has been read here.
+constexpr Duration kMaxResponseDelay = std::chrono::milliseconds(100);
+
 /// @param count  how many times the request was quarantined.
 auto QuarantineLength(int count) -> Duration {
   Duration length = kFirstQuarantine;
@@ -30,6 +33,11 @@
   if (it != this->quarantined.end()) this->ClearEntry(request, it->second);
 }
 
+auto RequestQuarantine::OnServerAlive(const ServerProcess& process,
+                                      TimePoint now) -> void {
+  this->ends.ClearProcess(process, now - kMaxResponseDelay);
+}
+
 auto RequestQuarantine::ClearEntry(RequestFingerprint request, Entry& entry)
     -> void {
   if (entry.is_cleared) return;
--- a/src/policy/request_quarantine.h
+++ b/src/policy/request_quarantine.h
@@ -24,6 +24,10 @@
   /// Records that a server answered the request, which shows that the request
   /// does not end servers.
   auto OnAnswered(RequestFingerprint request) -> void;
+  /// Records that the server process has responded, so that it has not ended: a
+  /// server that is full may refuse connections, too. Ignored within 100 ms of
+  /// the recorded end, as the response may be older.
+  auto OnServerAlive(const ServerProcess& process, TimePoint now) -> void;
   /// Adds what another host knows.
   auto Merge(const QuarantineState& state, TimePoint now) -> void;
   /// Discards what is outdated. Call periodically.
--- a/src/policy/server_end_log.cc
+++ b/src/policy/server_end_log.cc
@@ -5,6 +5,13 @@
 #include "policy/quarantine_limits.h"
 
 namespace currantbeam {
+namespace {
+
+/// A response after this time may be that of a process that has started again
+/// under the same id and whose entry is not known here yet.
+constexpr Duration kMinRestartTime = std::chrono::seconds(1);
+
+}  // namespace
 
 auto ServerEndLog::Add(const ServerProcess& process, RequestFingerprint request,
                        TimePoint at) -> void {
@@ -30,6 +37,16 @@
   for (auto& [process, record] : this->ends) ClearSuspect(record, request);
 }
 
+auto ServerEndLog::ClearProcess(const ServerProcess& process, TimePoint before)
+    -> void {
+  const auto it = this->ends.find(process);
+  if (it == this->ends.end() || it->second.at >= before) return;
+  if (it->second.at < before - kMinRestartTime) return;
+  auto& record = it->second;
+  record.cleared.insert(record.suspects.begin(), record.suspects.end());
+  record.suspects.clear();
+}
+
 auto ServerEndLog::Merge(const ServerEnd& end, TimePoint now) -> void {
   if (end.age >= kServerEndRetention) return;
   const auto at = now - end.age;
--- a/src/policy/server_end_log.h
+++ b/src/policy/server_end_log.h
@@ -18,6 +18,9 @@
            TimePoint at) -> void;
   /// Records that a server answered the request.
   auto Clear(RequestFingerprint request) -> void;
+  /// Clears all suspects of a process that was recorded to end before this
+  /// time.
+  auto ClearProcess(const ServerProcess& process, TimePoint before) -> void;
   /// Adds what another host recorded about a process. If the hosts differ in
   /// the time of the end, the earlier one holds.
   auto Merge(const ServerEnd& end, TimePoint now) -> void;
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -236,14 +236,13 @@
   this->request.state.metrics.OnAttempt(this->request.service, target.entry.id,
                                         outcome);
   if (outcome == AttemptOutcome::kAnswered) {
-    this->quarantine_check.OnAnswered();
+    this->quarantine_check.OnAnswered(target.entry);
     this->LogResponse(target, attempt.Status());
     this->RecordResult(RequestResult::kAnswered);
   }
   if (attempt.HasLostConnection()) {
     this->quarantine_check.OnConnectionLost(target.entry);
   }
-  this->quarantine_check.EndTrial();
   return outcome;
 }
 
--- a/src/router/quarantine_check.cc
+++ b/src/router/quarantine_check.cc
@@ -15,6 +15,7 @@
 auto QuarantineCheck::TryStartTrial() -> bool {
   auto& state = this->request.state;
   if (state.trials == nullptr || state.quarantine.IsIdle()) return true;
+  if (this->has_permit) return true;
   if (!state.quarantine.IsSuspect(this->Fingerprint())) return true;
   this->has_permit =
       state.trials->Acquire(this->Fingerprint(), this->request.TimeLeft());
@@ -27,9 +28,12 @@
   this->request.state.trials->Release(this->Fingerprint());
 }
 
-auto QuarantineCheck::OnAnswered() -> void {
-  auto& quarantine = this->request.state.quarantine;
-  if (!quarantine.IsIdle()) quarantine.OnAnswered(this->Fingerprint());
+auto QuarantineCheck::OnAnswered(const BackendEntry& server) -> void {
+  auto& state = this->request.state;
+  if (state.quarantine.IsIdle()) return;
+  state.quarantine.OnAnswered(this->Fingerprint());
+  state.quarantine.OnServerAlive({server.id, server.started},
+                                 state.clock.Now());
 }
 
 auto QuarantineCheck::OnConnectionLost(const BackendEntry& server) -> void {
--- a/tests/policy/request_quarantine_test.cc
+++ b/tests/policy/request_quarantine_test.cc
@@ -81,6 +81,21 @@
   EXPECT_FALSE(this->MayRun(kDeadly));
 }
 
+TEST_F(Quarantine, DoesNotCountAServerThatRefusedAConnectionAndAnswersLater) {
+  this->EndServers(1, 2);
+  this->quarantine.OnServerAlive(Process(1), this->now + milliseconds(50));
+  this->EndServers(3, 3);
+  EXPECT_TRUE(this->MayRun(kDeadly));
+  this->EndServers(4, 4);
+  EXPECT_FALSE(this->MayRun(kDeadly));
+}
+
+TEST_F(Quarantine, CountsAServerThatAnswersAfterItHasStartedAgain) {
+  this->EndServers(1, 1, kInnocent);
+  this->quarantine.OnServerAlive(Process(1), this->now + seconds(2));
+  EXPECT_TRUE(this->quarantine.IsSuspect(kInnocent));
+}
+
 TEST_F(Quarantine, DiscardsOldEvidence) {
   this->EndServers(1, 2);
   this->Wait(kServerEndRetention);
