--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -19,6 +19,7 @@
 constexpr const char* kReportPath = "/loads";
 constexpr const char* kUpdatePath = "/owners";
 constexpr const char* kOwnersPath = "/owners-since";
+constexpr const char* kTrialPath = "/trials";
 
 auto FormatEndpoint(const Endpoint& endpoint) -> std::string {
   return endpoint.address + ":" + std::to_string(endpoint.port);
@@ -52,13 +53,14 @@
 
 PeerExchange::PeerExchange(const RouterSettings& settings, const Clock& clock,
                            LoadRecorder& loads, OwnerDirectory& owners,
-                           FleetSize& fleet, RelayedStore& store,
-                           Duration first_contact_timeout)
+                           FleetSize& fleet, RequestQuarantine& quarantine,
+                           RelayedStore& store, Duration first_contact_timeout)
     : settings(settings),
       clock(clock),
       loads(loads),
       owners(owners),
       fleet(fleet),
+      quarantine(quarantine),
       store(store),
       first_contact_timeout(first_contact_timeout),
       server(ServerOptions(settings.peers), *this) {}
@@ -98,6 +100,7 @@
     this->last_contact_at = this->clock.Now();
   } else {
     report.tables = this->store.Versions();
+    report.quarantine = this->quarantine.State(this->clock.Now());
     const bool is_accepted = this->SendReport(report);
     this->coordinator->OnCoordinatorContact(is_accepted);
     if (is_accepted) this->last_contact_at = this->clock.Now();
@@ -131,7 +134,8 @@
         return this->HasReportedRecently(peer.second);
       });
   return {static_cast<int>(others) + 1, this->coordinator->Versions(),
-          this->store.UpdatesSince(report.tables)};
+          this->store.UpdatesSince(report.tables),
+          this->quarantine.State(this->clock.Now())};
 }
 
 auto PeerExchange::ApplyReportReply(LoadReportReply reply, TimePoint sent_at)
@@ -141,6 +145,7 @@
     this->owners.OnCoordinatorVersion(service, version);
   }
   this->store.OnUpdates(std::move(reply.table_updates), sent_at);
+  this->quarantine.Merge(reply.quarantine, this->clock.Now());
 }
 
 auto PeerExchange::HasReportedRecently(const Peer& peer) const -> bool {
@@ -221,6 +226,70 @@
   }
 }
 
+auto PeerExchange::IsInContact() const -> bool {
+  return this->clock.Now() - this->last_contact_at <= kContactTimeout;
+}
+
+auto PeerExchange::Acquire(RequestFingerprint request, Duration length)
+    -> bool {
+  if (!this->coordinator->IsActive()) {
+    const auto granted = this->SendTrial(
+        {request, false, length, this->quarantine.State(this->clock.Now())});
+    if (granted) return *granted;
+  }
+  return this->permits.Acquire(request, length, this->clock.Now());
+}
+
+auto PeerExchange::Release(RequestFingerprint request) -> void {
+  this->permits.Release(request);
+  if (this->coordinator->IsActive()) return;
+  TrialMessage message{request, true, Duration(0),
+                       this->quarantine.State(this->clock.Now())};
+  FiberLoop::Current().Spawn(
+      [this, message = std::move(message)] { this->SendTrial(message); });
+}
+
+auto PeerExchange::SendTrial(const TrialMessage& message)
+    -> std::optional<bool> {
+  const auto endpoint = ParseEndpoint(this->coordinator->ReportEndpoint());
+  if (!this->IsInContact() || endpoint.port == 0) return std::nullopt;
+  try {
+    const auto response = Post(endpoint, kTrialPath, message.Encode());
+    const bool is_granted = response.result() == http::status::ok;
+    if (!is_granted && response.result() != http::status::conflict) {
+      return std::nullopt;
+    }
+    this->quarantine.Merge(QuarantineState::Decode(response.body()),
+                           this->clock.Now());
+    return is_granted;
+  } catch (const Error& error) {
+    Log(events::kReportLost, {{"keeper", FormatEndpoint(endpoint)},
+                              {"path", kTrialPath},
+                              {"error", error.what()}});
+  }
+  return std::nullopt;
+}
+
+auto PeerExchange::HandleTrial(HttpExchange& exchange) -> void {
+  if (!this->coordinator->IsActive()) {
+    exchange.Send(HttpResponse{http::status::service_unavailable, 11});
+    return;
+  }
+  const auto message = TrialMessage::Decode(exchange.Request().body());
+  const auto now = this->clock.Now();
+  this->quarantine.Merge(message.quarantine, now);
+  bool is_granted = true;
+  if (message.is_release) {
+    this->permits.Release(message.request);
+  } else {
+    is_granted = this->permits.Acquire(message.request, message.length, now);
+  }
+  HttpResponse response{is_granted ? http::status::ok : http::status::conflict,
+                        11};
+  response.body() = this->quarantine.State(now).Encode();
+  exchange.Send(std::move(response));
+}
+
 auto PeerExchange::Handle(HttpExchange& exchange) -> void {
   const auto& request = exchange.Request();
   try {
@@ -228,6 +297,10 @@
       this->HandleReport(exchange);
       return;
     }
+    if (request.target() == kTrialPath) {
+      this->HandleTrial(exchange);
+      return;
+    }
     if (request.target() == kOwnersPath) {
       this->HandleOwnersRequest(exchange);
       return;
@@ -253,6 +326,7 @@
   this->peers[report.host] = {ParseEndpoint(report.endpoint),
                               this->clock.Now()};
   this->coordinator->OnReport(report);
+  this->quarantine.Merge(report.quarantine, this->clock.Now());
   HttpResponse response{http::status::ok, 11};
   response.body() = this->MakeReportReply(report).Encode();
   exchange.Send(std::move(response));
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "http/http.h"
 #include "keys/keys.h"
 #include "router/owner_directory.h"
 #include "router/router_settings.h"
+#include "router/suspect_trials.h"
+#include "router/trial_message.h"
 
 namespace currantbeam {
 
@@ -14,13 +17,14 @@
 /// the host whose KeyCoordinator is active, and that host pushes changes of
 /// owners at once to the hosts that report. Messages may be lost; owners are
 /// then read from the coordinator or the store. Runs on one loop.
-class PeerExchange : public HttpHandler {
+class PeerExchange : public HttpHandler, public SuspectTrials {
  public:
   /// @param first_contact_timeout  how long a host that starts waits for the
   ///   coordinator before it reads the owners from the store.
   PeerExchange(const RouterSettings& settings, const Clock& clock,
                LoadRecorder& loads, OwnerDirectory& owners, FleetSize& fleet,
-               RelayedStore& store, Duration first_contact_timeout);
+               RequestQuarantine& quarantine, RelayedStore& store,
+               Duration first_contact_timeout);
 
   /// Starts listening, reporting and reading on the loop.
   auto Start(FiberLoop& loop, KeyCoordinator& coordinator) -> void;
@@ -28,6 +32,11 @@
   /// to this host's owners.
   auto Publish(const OwnerUpdate& update) -> void;
 
+  /// Asks the coordinator. While it is unreachable, one repetition at a time
+  /// may be sent by this host.
+  auto Acquire(RequestFingerprint request, Duration length) -> bool override;
+  auto Release(RequestFingerprint request) -> void override;
+
   auto Handle(HttpExchange& exchange) -> void override;
   auto OnBadInput(const std::string& what) -> void override;
 
@@ -52,7 +61,8 @@
   auto SendReport(const LoadReport& report) -> bool;
   /// @return the coordinator's reply to the report.
   auto MakeReportReply(const LoadReport& report) -> LoadReportReply;
-  /// Applies the reply's number of hosts, owner versions and table updates.
+  /// Applies the reply's number of hosts, owner versions, table updates and
+  /// quarantine.
   /// @param sent_at  when the report was sent.
   auto ApplyReportReply(LoadReportReply reply, TimePoint sent_at) -> void;
   /// Handles a report of another host; 503 unless the coordinator is active.
@@ -60,6 +70,14 @@
   /// Responds with the owners that are newer than the versions in the request;
   /// 503 unless the coordinator is active.
   auto HandleOwnersRequest(HttpExchange& exchange) -> void;
+  /// Grants or takes back a permit for another host; 503 unless the
+  /// coordinator is active.
+  auto HandleTrial(HttpExchange& exchange) -> void;
+  /// @return whether the coordinator granted or refused the permit, or took it
+  ///   back; nothing if it did not respond.
+  auto SendTrial(const TrialMessage& message) -> std::optional<bool>;
+  /// @return whether the coordinator accepted a report recently.
+  [[nodiscard]] auto IsInContact() const -> bool;
   [[nodiscard]] auto HasReportedRecently(const Peer& peer) const -> bool;
   auto SendUpdate(const Endpoint& endpoint, const std::string& body) -> void;
   /// Reads the owners from the coordinator, or from the store if that fails.
@@ -73,11 +91,13 @@
   LoadRecorder& loads;
   OwnerDirectory& owners;
   FleetSize& fleet;
+  RequestQuarantine& quarantine;
   RelayedStore& store;
   Duration first_contact_timeout;
   KeyCoordinator* coordinator = nullptr;
   HttpServer server;
   std::map<HostId, Peer> peers;
+  TrialPermits permits;
   TimePoint last_contact_at{};  ///< Of the last report that was accepted.
 };
 
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -9,11 +9,13 @@
 #include "policy/policy.h"
 #include "router/active_requests.h"
 #include "router/backend_chooser.h"
+#include "router/ended_server_probe.h"
 #include "router/forwarding_headers.h"
 #include "router/owner_directory.h"
 #include "router/request_metrics.h"
 #include "router/route_table.h"
 #include "router/stop_schedule.h"
+#include "router/suspect_trials.h"
 
 namespace currantbeam {
 
@@ -41,6 +43,9 @@
   std::shared_ptr<const RouteTable> routes;
   TargetSequence target_sequence;
   RequestMetrics metrics;
+  RequestQuarantine quarantine;
+  EndedServerProbe ended_server_probe;
+  SuspectTrials* trials = nullptr;  ///< Null: suspect requests run at any time.
   ActiveRequests active_requests;
   StopSchedule stop;
   std::unordered_map<ServiceName, RetryBudget> retry_budgets;
