Reject messages of other hosts that are nested too deeply

Callers of a host whose peer port received a deeply nested message lost all connections: the process ended. nlohmann's CBOR decoder recurses at each array or map, so a body of 500,000 nested arrays (well within the 4 MB that the peer port accepts) exhausted the stack.

Evidence: LoadReport.DeepNestingDoesNotExhaustTheStack ended keys_test without a result on the code without this change, and passes with it (release, arm64).

--- a/src/core/cbor.h
+++ b/src/core/cbor.h
@@ -15,14 +15,24 @@
   return text;
 }
 
+/// Levels of arrays and maps within each other in CBOR.
+constexpr int kMaxCborNesting = 64;
+
+/// The decoder recurses at each level, so deeply nested text would exhaust the
+/// stack.
+/// @throws InputError if the text is nested deeper than kMaxCborNesting.
+auto CheckCborNesting(const std::string& text) -> void;
+
 /// Decodes CBOR that another process encoded.
 /// @param what     name of the value, for error messages.
 /// @param convert  converts the decoded JSON value to the result; may throw
 ///   nlohmann::json::exception.
 /// @return the result of `convert`.
-/// @throws InputError if the text is not valid CBOR or `convert` fails.
+/// @throws InputError if the text is not valid CBOR, is nested too deeply, or
+///   `convert` fails.
 template <typename Convert>
 auto FromCbor(const std::string& text, std::string_view what, Convert convert) {
+  CheckCborNesting(text);
   try {
     return convert(nlohmann::json::from_cbor(text));
   } catch (const nlohmann::json::exception& error) {
--- a/tests/keys/load_test.cc
+++ b/tests/keys/load_test.cc
@@ -73,6 +73,17 @@
   EXPECT_THROW(LoadReport::Decode("x"), InputError);
 }
 
+TEST(LoadReport, DeepNestingDoesNotExhaustTheStack) {
+  constexpr int kDepth = 500000;
+  const std::string arrays(kDepth, '\x81');
+  std::string maps;
+  for (int i = 0; i < kDepth; ++i) maps += "\xa1\x61k";
+  for (const auto& text : {arrays, maps}) {
+    EXPECT_THROW(LoadReport::Decode(text), InputError);
+    EXPECT_THROW(LoadReport::Decode(text + '\x01'), InputError);
+  }
+}
+
 TEST(LoadAggregator, WeighsServersByTheirLatencies) {
   LoadAggregator aggregator(64);
   ManualClock clock;
