--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <fstream>
+#include <map>
 
 #include "boot_settings.h"
 #include "fiber_test.h"
@@ -76,6 +78,25 @@
   EXPECT_NE(message("").find("not JSON"), std::string::npos);
 }
 
+TEST(BootSettings, RejectsNumbersOutOfRange) {
+  const std::string valid = kSettings;
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {"[7540,7555]", "[0]"},
+      {"[7540,7555]", "[65536]"},
+      {"[7540,7555]", "[-1]"},
+      {"[7540,7555]", "[1e300]"},
+      {R"("graceS":6)", R"("graceS":1e300)"},
+      {R"("holdMaxS":5)", R"("holdMaxS":-1e300)"},
+      {"10.0.0.1:80", "10.0.0.1:65536"}};
+  for (const auto& [from, to] : changes) {
+    EXPECT_THROW(DecodeBootSettings(ReplaceFirst(valid, from, to)), InputError)
+        << to;
+  }
+  EXPECT_THROW(
+      DecodeBootSettings(ReplaceFirst(valid, "{", R"({"bootstrap":"yes",)")),
+      InputError);
+}
+
 TEST(BootSettings, PollFailsForAMissingFileAndReturnsEachChangeOnce) {
   const std::string path = testing::TempDir() + "currantbeam-boot.json";
   BootSettingsFile missing(path + ".none");
@@ -120,6 +141,83 @@
   EXPECT_EQ(sequence_of(R"("seq":7.5,)"), std::nullopt);
 }
 
+/// @return a backend entry with the given JSON text in place of one field's.
+auto DecodeBackendWith(const std::string& field, const std::string& text)
+    -> BackendEntry {
+  std::map<std::string, std::string> fields = {
+      {"service", R"("s")"},    {"addr", R"("10.0.0.1:80")"},
+      {"zone", R"("x")"},       {"slots", "4"},
+      {"state", R"("ready")"},  {"coldLeftS", "0"},
+      {"born", "1750000000000"}};
+  fields[field] = text;
+  std::string value;
+  for (const auto& [name, field_text] : fields) {
+    value += (value.empty() ? "{\"" : ",\"") + name + "\":" + field_text;
+  }
+  return PlatformSchema().DecodeBackend(
+      {{"servers", "", "a"}, value + "}", {0, 1}, false});
+}
+
+TEST(PlatformSchema, RejectsABackendEntryWithANumberOutOfRange) {
+  const std::vector<std::string> never_valid = {
+      "-1e300", "1e300", "1e999", "9223372036854775808", "18446744073709551616",
+      "NaN",    "null"};
+  for (const auto* field : {"slots", "coldLeftS", "born"}) {
+    for (const auto& text : never_valid) {
+      EXPECT_THROW(DecodeBackendWith(field, text), InputError)
+          << field << " " << text;
+    }
+  }
+  for (const auto* text : {"-1", "0", "4.5", "2147483647", "2147483648"}) {
+    EXPECT_THROW(DecodeBackendWith("slots", text), InputError) << text;
+  }
+  for (const auto* text : {"-1", "0.5", "9223372036854775807"}) {
+    EXPECT_THROW(DecodeBackendWith("born", text), InputError) << text;
+  }
+  EXPECT_EQ(DecodeBackendWith("slots", "4.0").slots, 4);
+  EXPECT_EQ(DecodeBackendWith("slots", "1").slots, 1);
+}
+
+TEST(PlatformSchema, RejectsABackendEntryWithAPortOutOfRange) {
+  for (const auto* port : {"0", "65536", "99999999999", "-1", "", "x", "80x",
+                           " 80", "+80", "1e3"}) {
+    const auto address = R"("10.0.0.1:)" + std::string(port) + '"';
+    EXPECT_THROW(DecodeBackendWith("addr", address), InputError) << port;
+  }
+  EXPECT_EQ(DecodeBackendWith("addr", R"("10.0.0.1:65535")").port, 65535);
+}
+
+TEST(PlatformSchema, RejectsAConfigurationWithANumberOutOfRange) {
+  const std::string valid =
+      R"({"version":7,"services":[{"name":"s","maxConns":9,"warmS":1}],
+          "limits":{"maxHeaderBytes":4096,"maxBodyBytes":65536,
+                    "headerTimeoutS":0.5,"idleTimeoutS":5},
+          "hosts":[{"host":"h","paths":[
+            {"prefix":"/","type":"safe","timeoutS":2,"latencyTargetS":0.3,
+             "priority":1,"service":"s","maxAttempts":2}]}]})";
+  const auto decode = [](const std::string& value) {
+    return PlatformSchema().DecodeRoutes(
+        {{"op", "", "config"}, value, {0, 1}, false});
+  };
+  EXPECT_EQ(decode(valid)->version, 7U);
+  for (const auto* field :
+       {R"("version":7)", R"("maxConns":9)", R"("warmS":1)",
+        R"("maxHeaderBytes":4096)", R"("maxBodyBytes":65536)",
+        R"("headerTimeoutS":0.5)", R"("timeoutS":2)", R"("latencyTargetS":0.3)",
+        R"("priority":1)", R"("maxAttempts":2)"}) {
+    const std::string name(field, std::strchr(field, ':') + 1);
+    for (const auto* text :
+         {"1e300", "-1e300", "1e999", "18446744073709551616", "NaN"}) {
+      EXPECT_THROW(decode(ReplaceFirst(valid, field, name + text)), InputError)
+          << name << text;
+    }
+  }
+  for (const auto* version : {"-1", "7.5"}) {
+    EXPECT_THROW(decode(ReplaceFirst(valid, "7", version)), InputError)
+        << version;
+  }
+}
+
 TEST(TableStoreClient, ReadsWritesAndFollowsTheTable) {
   FiberLoop loop;
   WireStore store;
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -286,6 +286,47 @@
   });
 }
 
+TEST_F(Forwarding, OneOddBackendEntryAffectsNoOtherServer) {
+  this->fleet.Run([&] {
+    const std::string head =
+        R"({"service":"plain","zone":"x","state":"ready",)";
+    const std::string number = "1" + std::string(400, '0');
+    const std::vector<std::string> values = {
+        std::string(60000, '['),
+        head + R"("x":)" + std::string(30000, '[') + std::string(30000, ']') +
+            R"(,"addr":"127.0.0.1:1","slots":4,"coldLeftS":0,"born":1})",
+        head + R"("addr":"127.0.0.1:1","slots":1e300,"coldLeftS":0,"born":1})",
+        head + R"("addr":"127.0.0.1:1","slots":)" + number +
+            R"(,"coldLeftS":0,"born":1})",
+        head + R"("addr":"127.0.0.1:1","slots":4,"coldLeftS":1e300,"born":1})",
+        head + R"("addr":"127.0.0.1:1","slots":4,"coldLeftS":0,"born":1e300})",
+        head + R"("addr":"127.0.0.1:0","slots":4,"coldLeftS":0,"born":1})",
+        head + R"("addr":"127.0.0.1:65536","slots":4,"coldLeftS":0,"born":1})",
+        head +
+            R"("addr":"127.0.0.1:99999999999","slots":4,"coldLeftS":0,"born":1})"};
+    for (std::size_t i = 0; i < values.size(); ++i) {
+      const auto id = "i-odd" + std::to_string(i);
+      this->fleet.Store().Put({"servers", "", id}, values[i]);
+      this->fleet.Register(0, true);
+      EXPECT_TRUE(
+          WireFleet::Await([&] { return this->ReceivesNoRequests(0); }));
+      this->fleet.Register(0);
+      EXPECT_TRUE(WireFleet::Await([&] {
+        return !this->ReceivesNoRequests(0);
+      })) << "the table is no longer followed after entry "
+          << i;
+      for (int n = 0; n < 10; ++n) {
+        EXPECT_EQ(this->fleet.Send("/safe/a", "id").result_int(), 200);
+      }
+    }
+    // The page that a table is read from again contains all of them.
+    this->fleet.Store().DropHistory();
+    this->fleet.Register(0, true);
+    EXPECT_TRUE(WireFleet::Await([&] { return this->ReceivesNoRequests(0); }));
+    EXPECT_EQ(this->fleet.Send("/safe/a", "id").result_int(), 200);
+  });
+}
+
 TEST_F(Forwarding, ServesKeysOnceTheyAreGranted) {
   this->fleet.Run([&] {
     const auto served = [&](int key) {
