--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -218,6 +218,28 @@
   }
 }
 
+TEST(PlatformSchema, DeepNestingDoesNotExhaustTheStack) {
+  constexpr int kDepth = 200000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string objects;
+  for (int i = 0; i < kDepth; ++i) objects += R"({"a":)";
+  objects += "1" + std::string(kDepth, '}');
+  FiberLoop loop;
+  RunInFiber(loop, [&] {
+    for (const auto& value : {nested, objects, nested.substr(0, kDepth)}) {
+      EXPECT_THROW(PlatformSchema().DecodeBackend(
+                       {{"servers", "", "a"}, value, {0, 1}, false}),
+                   InputError);
+      EXPECT_THROW(PlatformSchema().DecodeRoutes(
+                       {{"op", "", "config"}, value, {0, 1}, false}),
+                   InputError);
+      EXPECT_THROW(DecodeBackendWith("slots", value), InputError);
+      EXPECT_THROW(DecodeBackendWith("unknown", value), InputError);
+    }
+  });
+}
+
 TEST(TableStoreClient, ReadsWritesAndFollowsTheTable) {
   FiberLoop loop;
   WireStore store;
