Reject an entry whose id can't be sent in a header

The key of an entry is sent to its server as the id that it must have. A key with a line break, which another writer may choose, would have put further headers into each request to that address.

--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -187,6 +187,17 @@
   EXPECT_EQ(DecodeBackendWith("addr", R"("10.0.0.1:65535")").port, 65535);
 }
 
+TEST(PlatformSchema, RejectsABackendIdThatIsNoHeaderValue) {
+  const auto valid =
+      R"({"service":"s","addr":"10.0.0.1:80","zone":"x","slots":4,
+          "state":"ready","coldLeftS":0,"born":1750000000000})";
+  for (const auto* id : {"", "a b", "a\r\nb: c", "\xc3\xa9", "a\x7f"}) {
+    EXPECT_THROW(PlatformSchema().DecodeBackend(
+                     {{"servers", "", id}, valid, {0, 1}, false}),
+                 InputError);
+  }
+}
+
 TEST(PlatformSchema, RejectsAConfigurationWithANumberOutOfRange) {
   const std::string valid =
       R"({"version":7,"services":[{"name":"s","maxConns":9,"warmS":1}],
