Reject endpoints of other hosts that can't be connected to

A report of another host whose endpoint had no IP address ended the coordinator at the next change of owners: boost::asio::ip::make_address threw an exception that no caller of Fetch expects.

--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -1,6 +1,7 @@
 #include "router/peer_exchange.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "core/events.h"
 
@@ -20,17 +21,14 @@
 constexpr const char* kUpdatePath = "/owners";
 constexpr const char* kOwnersPath = "/owners-since";
 
-auto FormatEndpoint(const Endpoint& endpoint) -> std::string {
-  return endpoint.address + ":" + std::to_string(endpoint.port);
-}
-
-/// @param text  ADDRESS:PORT.
-/// @return the endpoint; its port is 0 if the text has none.
-auto ParseEndpoint(const std::string& text) -> Endpoint {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return {};
-  const auto port = std::strtol(text.c_str() + colon + 1, nullptr, 10);
-  return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+/// @return the coordinator's endpoint; nothing if it is unknown or invalid.
+auto ReportEndpoint(const KeyCoordinator& coordinator)
+    -> std::optional<Endpoint> {
+  try {
+    return ParseEndpoint(coordinator.ReportEndpoint());
+  } catch (const InputError&) {
+    return std::nullopt;
+  }
 }
 
 auto ServerOptions(const Endpoint& endpoint) -> HttpServer::Options {
@@ -107,17 +105,17 @@
 }
 
 auto PeerExchange::SendReport(const LoadReport& report) -> bool {
-  const auto endpoint = ParseEndpoint(this->coordinator->ReportEndpoint());
-  if (endpoint.port == 0) return false;
+  const auto endpoint = ReportEndpoint(*this->coordinator);
+  if (!endpoint) return false;
   const auto sent_at = this->clock.Now();
   try {
-    const auto response = Post(endpoint, kReportPath, report.Encode());
+    const auto response = Post(*endpoint, kReportPath, report.Encode());
     if (response.result() != http::status::ok) return false;
     this->ApplyReportReply(LoadReportReply::Decode(response.body()), sent_at);
     return true;
   } catch (const RequestError& error) {
     Log(events::kReportLost,
-        {{"keeper", FormatEndpoint(endpoint)}, {"error", error.what()}});
+        {{"keeper", FormatEndpoint(*endpoint)}, {"error", error.what()}});
   } catch (const InputError& error) {
     Log(events::kBadPeerMessage, {{"error", error.what()}});
   }
@@ -179,17 +177,17 @@
     return true;
   }
   const auto since_contact = this->clock.Now() - this->last_contact_at;
-  const auto endpoint = ParseEndpoint(this->coordinator->ReportEndpoint());
-  if (since_contact > kContactTimeout || endpoint.port == 0) return false;
+  const auto endpoint = ReportEndpoint(*this->coordinator);
+  if (since_contact > kContactTimeout || !endpoint) return false;
   try {
     const auto response =
-        Post(endpoint, kOwnersPath, EncodeVersions(known_versions));
+        Post(*endpoint, kOwnersPath, EncodeVersions(known_versions));
     if (response.result() != http::status::ok) return false;
     this->ApplyOwners(TableUpdate::Decode(response.body()).rows);
     return true;
   } catch (const Error& error) {
     Log(events::kOwnersUnread,
-        {{"keeper", FormatEndpoint(endpoint)}, {"error", error.what()}});
+        {{"keeper", FormatEndpoint(*endpoint)}, {"error", error.what()}});
   }
   return false;
 }
@@ -250,8 +248,8 @@
     return;
   }
   const auto report = LoadReport::Decode(exchange.Request().body());
-  this->peers[report.host] = {ParseEndpoint(report.endpoint),
-                              this->clock.Now()};
+  const auto endpoint = ParseEndpoint(report.endpoint);
+  this->peers[report.host] = {endpoint, this->clock.Now()};
   this->coordinator->OnReport(report);
   HttpResponse response{http::status::ok, 11};
   response.body() = this->MakeReportReply(report).Encode();
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -8,15 +8,10 @@
 #include "core/core.h"
 #include "keys/keys.h"
 #include "policy/policy.h"
+#include "router/endpoint.h"
 
 namespace currantbeam {
 
-/// A network address to listen on or connect to.
-struct Endpoint {
-  std::string address;
-  std::uint16_t port = 0;
-};
-
 /// The settings that a router process starts with, before it has read the
 /// store.
 struct RouterSettings {
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "fiber_test.h"
+#include "keys/keys.h"
 #include "platform_wire/wire_fleet.h"
 
 namespace currantbeam {
@@ -345,6 +346,28 @@
   });
 }
 
+TEST_F(Forwarding, AReportWithAnInvalidEndpointEndsNoHost) {
+  this->fleet.Run([&] {
+    const auto held = [&](int number) {
+      return this->fleet.Backend(number).LeasedKeyCount();
+    };
+    ASSERT_TRUE(
+        WireFleet::Await([&] { return held(2) + held(3) == kKeyCount; }));
+    for (const auto* endpoint :
+         {"", "127.0.0.1", "nowhere:80", "127.0.0.1:0", "127.0.0.1:65536",
+          "127.0.0.1:99999999999", "127.0.0.1:-1", "127.0.0.1:80x"}) {
+      LoadReport report;
+      report.host = HostId(std::string("host of ") + endpoint);
+      report.endpoint = endpoint;
+      EXPECT_EQ(this->fleet.SendPeerMessage("/loads", report.Encode()), 400U);
+    }
+    // Changes of the owners are sent to each host that has reported.
+    this->fleet.Register(2, true);
+    EXPECT_TRUE(WireFleet::Await([&] { return held(3) == kKeyCount; }));
+    EXPECT_EQ(this->fleet.Send("/safe/a", "id").result_int(), 200);
+  });
+}
+
 TEST_F(Forwarding, MovesTheKeysOfADrainingServer) {
   this->fleet.Run([&] {
     const auto held = [&](int number) {
--- a/tests/platform_wire/wire_fleet.cc
+++ b/tests/platform_wire/wire_fleet.cc
@@ -149,6 +149,20 @@
       .body();
 }
 
+auto WireFleet::SendPeerMessage(const std::string& path,
+                                const std::string& body)
+    -> std::optional<unsigned> {
+  HttpRequest request{http::verb::post, path, 11};
+  request.body() = body;
+  try {
+    return Fetch(this->settings.peers.address, this->settings.peers.port,
+                 std::move(request), std::chrono::seconds(2))
+        .result_int();
+  } catch (const RequestError&) {
+    return std::nullopt;
+  }
+}
+
 auto WireFleet::IsReady() -> bool {
   try {
     const auto response = Fetch(
--- a/tests/platform_wire/wire_fleet.h
+++ b/tests/platform_wire/wire_fleet.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -75,6 +76,10 @@
   [[nodiscard]] auto CallersPort() const -> std::uint16_t {
     return this->settings.callers.port;
   }
+  /// Sends a message to the router as another host.
+  /// @return the status of the response; nothing if there was none.
+  auto SendPeerMessage(const std::string& path, const std::string& body)
+      -> std::optional<unsigned>;
   [[nodiscard]] auto IsReady() -> bool;
   /// @return the router's metrics page.
   [[nodiscard]] auto Metrics() -> std::string;
