Count only a refusal with the request's id as its refusal

Callers could be told 503, "not run, try again", for a request that its server was running, or such a request ran twice: a response without X-Request-Id was taken for the answer to whatever request had been sent last. A server that wrote an earlier refusal once more on a kept connection, without the id, thus refused the next request, which was then sent again.

Evidence: of the 24 cases of RepeatedRefusal.IsNoRefusalOfTheNextRequest (id of the earlier request or none; repeated at once, while the connection is idle, or after the next request was sent; with and without its own response), numbers 8, 9 and 10, without an id, failed on the code without this change: POST requests ran twice. They pass with it.

A response without the id is now skipped like one with another id, as the request's own may follow, at most 16 of them. A refusal of a request that has no id itself is never certain. The stand-in's refusals carry the id, too.

--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -18,8 +18,10 @@
 /// deadline.
 constexpr auto kStreamGrace = std::chrono::milliseconds(250);
 
-constexpr auto kMisdirectedStatus =
-    static_cast<unsigned>(http::status::misdirected_request);
+/// The limit on responses of other requests that are skipped.
+constexpr int kMaxSkippedResponses = 16;
+
+constexpr auto kMisdirectedStatus = http::status::misdirected_request;
 
 }  // namespace
 
@@ -111,10 +113,14 @@
 auto ServerAttempt::Exchange(HttpConnection& connection) -> AttemptOutcome {
   connection.Send(this->BuildRequest(), this->request.TimeLeft());
   this->ReadMatchingResponse(connection);
-  const auto status = static_cast<unsigned>(connection.Head().result_int());
+  const auto status = connection.Head().result();
   const bool is_not_run =
       !connection.Field(this->request.state.headers.not_run).empty();
   if (status == kMisdirectedStatus || is_not_run) {
+    if (this->request.RequestId().empty()) {
+      throw RequestError(Verdict::kMayHaveRun,
+                         "response doesn't certainly refuse this request");
+    }
     while (!connection.ReadBody(this->request.TimeLeft()).empty()) {
     }
     return this->RecordRefusal(connection, status);
@@ -127,8 +133,8 @@
   return this->Deliver(connection);
 }
 
-auto ServerAttempt::RecordRefusal(HttpConnection& connection, unsigned status)
-    -> AttemptOutcome {
+auto ServerAttempt::RecordRefusal(HttpConnection& connection,
+                                  http::status status) -> AttemptOutcome {
   const auto now = this->request.state.clock.Now();
   const auto responder =
       connection.Field(this->request.state.headers.responder_id);
@@ -140,21 +146,24 @@
                                   : AttemptOutcome::kNotRun;
   }
   this->target.load.OnRefused(now);
-  return status == kMisdirectedStatus ? AttemptOutcome::kWrongOwner
-                                      : AttemptOutcome::kNotRun;
+  return status == http::status::misdirected_request
+             ? AttemptOutcome::kWrongOwner
+             : AttemptOutcome::kNotRun;
 }
 
 auto ServerAttempt::ReadMatchingResponse(HttpConnection& connection) -> void {
   const bool is_head =
       this->request.exchange.Request().method() == http::verb::head;
-  while (true) {
+  for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
     connection.ReadHead(is_head, this->request.TimeLeft());
     const auto id = connection.Field(this->request.state.headers.request_id);
-    if (id.empty() || id == this->request.RequestId()) return;
-    // This answers an earlier request; the response to this one may follow.
+    if (id == this->request.RequestId()) return;
+    // This belongs to no request or to an earlier one; the response to this one
+    // may follow.
     while (!connection.ReadBody(this->request.TimeLeft()).empty()) {
     }
   }
+  throw RequestError(Verdict::kMayHaveRun, "too many other responses");
 }
 
 auto ServerAttempt::IsUsable(HttpConnection& connection) const -> bool {
--- a/src/router/server_attempt.h
+++ b/src/router/server_attempt.h
@@ -28,12 +28,12 @@
   ///   relayed.
   auto Exchange(HttpConnection& connection) -> AttemptOutcome;
   [[nodiscard]] auto BuildRequest() const -> HttpRequest;
-  /// Reads response heads until the one that answers this request.
+  /// Reads response heads until the one with this request's id.
   auto ReadMatchingResponse(HttpConnection& connection) -> void;
   /// @return whether the response may be relayed. A success must carry the
   ///   server's seal and this request's id, and no content encoding.
   [[nodiscard]] auto IsUsable(HttpConnection& connection) const -> bool;
-  auto RecordRefusal(HttpConnection& connection, unsigned status)
+  auto RecordRefusal(HttpConnection& connection, http::status status)
       -> AttemptOutcome;
   auto RecordFailure(const RequestError& error) -> AttemptOutcome;
   auto RecordResponse(unsigned status) -> void;
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -89,6 +89,8 @@
   HttpResponse response{status, 11};
   response.set("X-Not-Executed", "1");
   response.set("X-Instance-Id", this->id);
+  const auto request_id = Header(exchange.Request(), "X-Request-Id");
+  if (!request_id.empty()) response.set("X-Request-Id", request_id);
   exchange.Send(std::move(response));
 }
 
--- a/tests/platform_wire/faulty_response_test.cc
+++ b/tests/platform_wire/faulty_response_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "fiber_test.h"
 #include "platform_wire/scripted_server.h"
 #include "platform_wire/wire_fleet.h"
@@ -23,6 +25,21 @@
          "\r\n";
 }
 
+auto Success(const std::string& id) -> std::string {
+  return Head("200 OK", id, "X-Backend-Seal: seal\r\nContent-Length: 4\r\n") +
+         "body";
+}
+
+auto Refusal(const std::string& id) -> std::string {
+  return Head("503 Service Unavailable", id,
+              "X-Not-Executed: 1\r\nContent-Length: 0\r\n");
+}
+
+/// @return whether the status tells the caller that its request has not run.
+auto IsPromiseNotRun(unsigned status) -> bool {
+  return std::set<unsigned>{408, 421, 429, 503}.count(status) != 0;
+}
+
 /// A router whose only plain server is a ScriptedServer.
 class FaultyResponse : public testing::Test {
  protected:
@@ -113,5 +130,82 @@
                     Head("200 OK", "id", "X-Backend-Seal: s\r\n"), "body"}),
     [](const auto& info) { return info.param.name; });
 
+/// When a server repeats a refusal.
+enum class RepeatTime { kAtOnce, kWhileIdle, kDuringNextRequest };
+
+struct Repeat {
+  std::string id;  ///< In the repeated refusal; may be empty.
+  RepeatTime time = RepeatTime::kAtOnce;
+  bool responds = true;  ///< The response to the next request follows.
+  std::string path;
+};
+
+class RepeatedRefusal : public FaultyResponse,
+                        public testing::WithParamInterface<Repeat> {
+ protected:
+  auto Serve(ScriptedConnection& connection) -> void {
+    const auto& repeat = GetParam();
+    const auto repeated = Refusal(repeat.id);
+    while (connection.ReadRequest()) {
+      const auto id = connection.Header("X-Request-Id");
+      if (id == "refused") {
+        const bool is_at_once = repeat.time == RepeatTime::kAtOnce;
+        connection.Write(Refusal(id) + (is_at_once ? repeated : ""));
+        if (repeat.time != RepeatTime::kWhileIdle) continue;
+        SleepFor(milliseconds(5));
+        connection.Write(repeated);
+        continue;
+      }
+      ++this->runs;
+      if (repeat.time == RepeatTime::kDuringNextRequest) {
+        connection.Write(repeated);
+        SleepFor(milliseconds(20));
+      }
+      if (!repeat.responds) break;
+      connection.Write(Success(id));
+    }
+    connection.Close();
+  }
+
+  int runs = 0;
+};
+
+TEST_P(RepeatedRefusal, IsNoRefusalOfTheNextRequest) {
+  const auto& repeat = GetParam();
+  this->Run(
+      [this](auto& connection) { this->Serve(connection); },
+      [&] {
+        // Without a retry budget, it is sent once.
+        EXPECT_EQ(this->fleet.Send("/order/a", "refused").result_int(), 503);
+        SleepFor(milliseconds(20));
+        const auto status = this->fleet.Send(repeat.path, "next").result_int();
+        EXPECT_FALSE(IsPromiseNotRun(status)) << status;
+        EXPECT_GE(this->runs, 1);
+        if (repeat.path == "/order/a") {
+          EXPECT_EQ(this->runs, 1);
+        }
+        if (repeat.responds) {
+          EXPECT_EQ(status, 200U);
+        }
+      });
+}
+
+auto AllRepeats() -> std::vector<Repeat> {
+  std::vector<Repeat> repeats;
+  for (const auto* path : {"/order/a", "/safe/a"}) {
+    for (const auto* id : {"refused", ""}) {
+      for (const auto time : {RepeatTime::kAtOnce, RepeatTime::kWhileIdle,
+                              RepeatTime::kDuringNextRequest}) {
+        for (const bool responds : {true, false}) {
+          repeats.push_back({id, time, responds, path});
+        }
+      }
+    }
+  }
+  return repeats;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RepeatedRefusal, testing::ValuesIn(AllRepeats()));
+
 }  // namespace
 }  // namespace currantbeam
