Retry a refused request over another connection

A request that its server refused may be sent to it again, with the same id and over the same connection. If the server then wrote its refusal once more, that was taken for the answer to the second attempt: the request was sent a third time, while the second attempt ran, or its caller was told that it hadn't run.

Evidence: FaultyResponse.ARepeatedRefusalOfTheSameRequestIsNoRefusalOfItsRetry failed on the code without this change, where a POST request ran twice, and passes with it (release, arm64).

The connection of a refused attempt returns to the pool only once the request has ended. Later requests have other ids.

--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -46,6 +46,7 @@
     if (this->request.upstream != nullptr) this->request.upstream->Cancel();
   });
   this->Forward();
+  this->request.ReleaseRefusedConnections();
 }
 
 auto ForwardedRequest::FindRoute() -> bool {
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "router/end_to_end_headers.h"
 #include "router/request_forwarder.h"
@@ -11,6 +14,13 @@
 
 namespace currantbeam {
 
+/// A connection to a server that has refused the request.
+struct RefusedConnection {
+  std::string address;
+  std::uint16_t port = 0;
+  std::unique_ptr<HttpConnection> connection;
+};
+
 /// The state of a request while it is forwarded; shared by ForwardedRequest and
 /// its ServerAttempts.
 struct RequestContext {
@@ -44,6 +54,8 @@
   int send_count = 0;         ///< Completed attempts that sent the request.
   bool is_sent = false;       ///< The running attempt has begun to send it.
   bool may_have_run = false;  ///< At the server of an earlier attempt.
+  /// Not used by the attempts that follow.
+  std::vector<RefusedConnection> refused_connections;
 
   /// @return when the request must get a response: at its deadline, or before
   ///   the process stops.
@@ -73,6 +85,13 @@
     if (!number || *number < 0 || *number >= kKeyCount) return std::nullopt;
     return static_cast<int>(*number);
   }
+  auto ReleaseRefusedConnections() -> void {
+    for (auto& refused : this->refused_connections) {
+      ConnectionPool::Current().Release(refused.address, refused.port,
+                                        std::move(refused.connection));
+    }
+    this->refused_connections.clear();
+  }
   /// Sends the response, or closes the connection if that fails.
   auto Respond(HttpResponse response) -> void {
     this->phase = RequestPhase::kResponding;
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -42,9 +42,7 @@
   try {
     const auto outcome = this->Exchange(*connection);
     this->request.upstream = nullptr;
-    const auto& entry = this->target.entry;
-    ConnectionPool::Current().Release(entry.address, entry.port,
-                                      std::move(connection));
+    this->ReleaseConnection(std::move(connection), outcome);
     return outcome;
   } catch (const RequestError& error) {
     this->request.upstream = nullptr;
@@ -55,6 +53,20 @@
   }
 }
 
+auto ServerAttempt::ReleaseConnection(
+    std::unique_ptr<HttpConnection> connection, AttemptOutcome outcome)
+    -> void {
+  const auto& entry = this->target.entry;
+  if (outcome == AttemptOutcome::kAnswered) {
+    ConnectionPool::Current().Release(entry.address, entry.port,
+                                      std::move(connection));
+    return;
+  }
+  // A retry over this connection could take a repeated refusal for its own.
+  this->request.refused_connections.push_back(
+      {entry.address, entry.port, std::move(connection)});
+}
+
 auto ServerAttempt::Connect() -> std::unique_ptr<HttpConnection> {
   const auto& entry = this->target.entry;
   try {
--- a/src/router/server_attempt.h
+++ b/src/router/server_attempt.h
@@ -28,6 +28,10 @@
   ///   relayed.
   auto Exchange(HttpConnection& connection) -> AttemptOutcome;
   [[nodiscard]] auto BuildRequest() const -> HttpRequest;
+  /// Returns the connection to the pool; after a refusal, only once the request
+  /// has ended.
+  auto ReleaseConnection(std::unique_ptr<HttpConnection> connection,
+                         AttemptOutcome outcome) -> void;
   /// Reads response heads until the one with this request's id.
   auto ReadMatchingResponse(HttpConnection& connection) -> void;
   /// @return whether the response may be relayed. A success must carry the
--- a/tests/platform_wire/faulty_response_test.cc
+++ b/tests/platform_wire/faulty_response_test.cc
@@ -207,5 +207,37 @@
 
 INSTANTIATE_TEST_SUITE_P(All, RepeatedRefusal, testing::ValuesIn(AllRepeats()));
 
+TEST_F(FaultyResponse, ARepeatedRefusalOfTheSameRequestIsNoRefusalOfItsRetry) {
+  int runs = 0;
+  std::set<int> refusing;  // Connections on which the request was refused.
+  const auto script = [&](ScriptedConnection& connection) {
+    while (connection.ReadRequest()) {
+      const auto id = connection.Header("X-Request-Id");
+      if (id == "again" && refusing.empty()) {
+        refusing.insert(connection.Number());
+        connection.Write(Refusal(id));
+        continue;
+      }
+      if (id == "again") {
+        ++runs;
+        if (refusing.count(connection.Number()) != 0) {
+          connection.Write(Refusal(id));
+        }
+        SleepFor(milliseconds(20));
+      }
+      connection.Write(Success(id));
+    }
+    connection.Close();
+  };
+  this->Run(script, [&] {
+    for (int i = 0; i < 60; ++i) {
+      this->fleet.Send("/safe/a", "earn-" + std::to_string(i));
+    }
+    const auto status = this->fleet.Send("/order/a", "again").result_int();
+    EXPECT_EQ(runs, 1) << "the request was not retried";
+    EXPECT_EQ(status, 200U);
+  });
+}
+
 }  // namespace
 }  // namespace currantbeam
