Send nothing to a server that says in a response that it leaves

A server that leaves says so in all its responses. Nothing read that, so a host went on sending requests to it until its entry changed, also while the store was away: requests reached servers that were about to exit.

The directory remembers the process and treats its entry as draining, until an entry of another process of the server comes. Log event 911.

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -14,12 +14,16 @@
 /// How long an outdated entry is held back. Longer than the store keeps the
 /// entry of a server that no longer writes.
 constexpr auto kOutdatedEntryHold = std::chrono::seconds(10);
+/// How long a process that leaves is remembered without an entry; longer than
+/// it may still be sent requests to.
+constexpr auto kLeavingProcessMemory = std::chrono::minutes(10);
 /// Typical latency of a service before any response.
 constexpr auto kInitialLatency = std::chrono::milliseconds(80);
 
 }  // namespace
 
-auto BackendDirectory::Apply(const BackendEntry& entry) -> bool {
+auto BackendDirectory::Apply(const BackendEntry& published) -> bool {
+  const auto entry = this->WithLeaving(published);
   const auto reason = this->CheckAge(entry);
   if (reason) {
     this->Hold(entry, *reason);
@@ -29,6 +33,39 @@
   return true;
 }
 
+auto BackendDirectory::WithLeaving(BackendEntry entry) const -> BackendEntry {
+  const auto process = this->leaving.find(entry.id);
+  entry.is_draining |= process != this->leaving.end() &&
+                       process->second.started == entry.started;
+  return entry;
+}
+
+auto BackendDirectory::OnLeaving(const ServerId& id,
+                                 std::chrono::milliseconds started) -> void {
+  const LeavingProcess process = {started,
+                                  this->clock.Now() + kLeavingProcessMemory};
+  this->leaving[id] = process;
+  const auto target = this->targets.find(id);
+  if (target == this->targets.end()) return;
+  auto& entry = target->second->entry;
+  if (entry.started != started || entry.is_draining) return;
+  entry.is_draining = true;
+  Log(events::kServerLeaving,
+      {{"server", id.Value()}, {"started_ms", started.count()}});
+  this->Rebuild();
+}
+
+auto BackendDirectory::ForgetLeavingProcesses(TimePoint now) -> void {
+  for (auto it = this->leaving.begin(); it != this->leaving.end();) {
+    const bool is_known = this->targets.count(it->first) != 0;
+    if (is_known || now < it->second.remembered_until) {
+      ++it;
+    } else {
+      it = this->leaving.erase(it);
+    }
+  }
+}
+
 auto BackendDirectory::CheckAge(const BackendEntry& entry) const
     -> std::optional<OutdatedReason> {
   const auto target = this->targets.find(entry.id);
@@ -122,6 +159,7 @@
   const auto now = this->clock.Now();
   this->RemoveExpired(now);
   this->UseHeldEntries(now);
+  this->ForgetLeavingProcesses(now);
 }
 
 auto BackendDirectory::RemoveExpired(TimePoint now) -> void {
@@ -146,7 +184,7 @@
   for (const auto& entry : due) {
     Log(events::kBackendOutdated,
         {{"server", entry.id.Value()}, {"is_used", true}});
-    this->Use(entry);
+    this->Use(this->WithLeaving(entry));
   }
 }
 
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -29,11 +29,14 @@
   /// without reporting a change. At other times it is used at once, unless its
   /// sequence is lower than the last one.
   /// @return whether the entry is in use; false if it is held back.
-  auto Apply(const BackendEntry& entry) -> bool;
+  auto Apply(const BackendEntry& published) -> bool;
   /// The server's entry was removed from the store. Within the grace period
   /// after the store has recovered or was restored, the server is kept until
   /// the period ends.
   auto Remove(const ServerId& id) -> void;
+  /// The server process has said that it leaves. It counts as draining,
+  /// whatever its entry says, until another process of the server registers.
+  auto OnLeaving(const ServerId& id, std::chrono::milliseconds started) -> void;
   /// The store is reachable again. Starts the grace period, as entries may have
   /// expired while it was unreachable and their servers publish them again.
   auto OnStoreRecovered() -> void;
@@ -67,6 +70,15 @@
     TimePoint held_until{};
   };
 
+  /// A server process that has said that it leaves.
+  struct LeavingProcess {
+    std::chrono::milliseconds started{0};
+    TimePoint remembered_until{};
+  };
+
+  /// @return the entry, as draining if its server process leaves.
+  [[nodiscard]] auto WithLeaving(BackendEntry entry) const -> BackendEntry;
+  auto ForgetLeavingProcesses(TimePoint now) -> void;
   /// @return why the entry is older than what is known of the server; empty if
   ///   it isn't.
   [[nodiscard]] auto CheckAge(const BackendEntry& entry) const
@@ -86,6 +98,7 @@
   /// Servers without an entry, with the end of their grace period.
   std::map<ServerId, TimePoint> expired;
   std::map<ServerId, HeldEntry> held;
+  std::map<ServerId, LeavingProcess> leaving;
   RemovedServers removed;
   bool is_restoring = false;  ///< A restored table is being applied.
   TimePoint grace_period_end{};
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -64,5 +64,6 @@
 constexpr LogEvent kSettingsReloaded{907, LogLevel::kInfo, "settings-reloaded"};
 constexpr LogEvent kStoreRolledBack{908, LogLevel::kWarn, "store-rolled-back"};
 constexpr LogEvent kBackendOutdated{910, LogLevel::kInfo, "backend-outdated"};
+constexpr LogEvent kServerLeaving{911, LogLevel::kInfo, "server-leaving"};
 
 }  // namespace currantbeam::events
--- a/src/router/forwarding_headers.h
+++ b/src/router/forwarding_headers.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 namespace currantbeam {
 
+/// The value of ForwardingHeaders::leaving of a server that leaves.
+constexpr std::string_view kServerLeaves = "1";
+
 /// The names of the headers that callers, gateways and backend servers add to
 /// requests and responses.
 struct ForwardingHeaders {
@@ -14,6 +18,7 @@
   std::string key;           ///< The key by which a service is sharded.
   std::string not_run;       ///< In responses: the request was not run.
   std::string seal;          ///< In responses: shows that a server sent it.
+  std::string leaving;       ///< In responses: kServerLeaves if it leaves.
 };
 
 }  // namespace currantbeam
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -131,6 +131,7 @@
 auto ServerAttempt::Exchange(HttpConnection& connection) -> AttemptOutcome {
   connection.Send(this->BuildRequest(), this->request.TimeLeft());
   this->ReadMatchingResponse(connection);
+  this->RecordServerState(connection);
   const auto status = connection.Head().result();
   const bool is_not_run =
       !connection.Field(this->request.state.headers.not_run).empty();
@@ -151,6 +152,17 @@
   return this->Deliver(connection);
 }
 
+auto ServerAttempt::RecordServerState(const HttpConnection& connection)
+    -> void {
+  const auto& headers = this->request.state.headers;
+  const auto& entry = this->target.entry;
+  const auto responder = connection.Field(headers.responder_id);
+  if (!responder.empty() && responder != entry.id.Value()) return;
+  if (connection.Field(headers.leaving) == kServerLeaves) {
+    this->request.state.directory.OnLeaving(entry.id, entry.started);
+  }
+}
+
 auto ServerAttempt::RecordRefusal(HttpConnection& connection,
                                   http::status status) -> AttemptOutcome {
   const auto now = this->request.state.clock.Now();
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -91,9 +91,14 @@
   response.set("X-Instance-Id", this->id);
   const auto request_id = Header(exchange.Request(), "X-Request-Id");
   if (!request_id.empty()) response.set("X-Request-Id", request_id);
+  this->AddServerState(response);
   exchange.Send(std::move(response));
 }
 
+auto WireBackend::AddServerState(HttpResponse& response) const -> void {
+  if (this->behaviour.is_leaving) response.set("Server-Leaving", "1");
+}
+
 auto WireBackend::MayRun(const HttpRequest& request) const -> bool {
   const auto expected = Header(request, "X-Expect-Instance");
   if (!expected.empty() && expected != this->id) return false;
@@ -176,6 +181,7 @@
   HttpResponse response{http::status::ok, 11};
   response.set("X-Request-Id", request_id);
   response.set("X-Backend-Seal", "seal-of-" + this->id);
+  this->AddServerState(response);
   response.body() = std::string(this->behaviour.body_bytes, 'b');
   if (this->behaviour.fail_requests > 0) {
     --this->behaviour.fail_requests;
--- a/src/standins/wire/wire_backend.h
+++ b/src/standins/wire/wire_backend.h
@@ -24,6 +24,7 @@
   int stray_responses = 0;
   /// Runs the request, then responds with status 500.
   int fail_requests = 0;
+  bool is_leaving = false;  ///< Says in each response that the server leaves.
 };
 
 /// Receives the events of a WireBackend.
@@ -100,6 +101,7 @@
       -> void;
   auto SendResponse(HttpExchange& exchange, const std::string& request_id)
       -> void;
+  auto AddServerState(HttpResponse& response) const -> void;
   [[nodiscard]] auto MayRun(const HttpRequest& request) const -> bool;
   auto SendNotExecuted(HttpExchange& exchange, http::status status) const
       -> void;
--- a/tests/router/backend_directory_test.cc
+++ b/tests/router/backend_directory_test.cc
@@ -106,5 +106,52 @@
   EXPECT_TRUE(this->directory.Apply(this->Entry(1, 8)));
 }
 
+/// A directory that knows server `a`, whose process has said that it leaves.
+class LeavingProcessTest : public testing::Test {
+ protected:
+  LeavingProcessTest() {
+    this->directory.Apply(this->Entry(1));
+    this->directory.OnLeaving(ServerId("a"), milliseconds(1));
+  }
+  static auto Entry(int started) -> BackendEntry {
+    auto entry = MakeEntry("a", 1);
+    entry.started = milliseconds(started);
+    return entry;
+  }
+  auto IsReady() -> bool {
+    return !this->directory.Ready(ServiceName("s")).empty();
+  }
+
+  ManualClock clock;
+  BackendDirectory directory{this->clock};
+};
+
+TEST_F(LeavingProcessTest, IsNotReadyWhateverItsEntrySays) {
+  EXPECT_FALSE(this->IsReady());
+  auto entry = this->Entry(1);
+  entry.slots = 7;
+  EXPECT_TRUE(this->directory.Apply(entry));
+  EXPECT_FALSE(this->IsReady());
+}
+
+TEST_F(LeavingProcessTest, IsNotReadyIfItsEntryReturns) {
+  this->directory.Remove(ServerId("a"));
+  this->clock.Advance(seconds(30));
+  this->directory.ApplyTimeouts();
+  this->directory.Apply(this->Entry(1));
+  this->clock.Advance(seconds(30));
+  this->directory.ApplyTimeouts();
+  EXPECT_NE(this->directory.Find(ServerId("a")), nullptr);
+  EXPECT_FALSE(this->IsReady());
+}
+
+TEST_F(LeavingProcessTest, IsFollowedByAReadyOne) {
+  EXPECT_TRUE(this->directory.Apply(this->Entry(2)));
+  EXPECT_TRUE(this->IsReady());
+  // A late response of the former process.
+  this->directory.OnLeaving(ServerId("a"), milliseconds(1));
+  EXPECT_TRUE(this->IsReady());
+}
+
 }  // namespace
 }  // namespace currantbeam
