Send nothing to a server during the pause that it asked for

A server that rejects a request with 503 may say in Retry-After for how long it wants no requests. Nothing read that: a host sent it the next request at once, and told callers to come back after a time of its own, within the pause.

The chooser passes a paused server over. Where no server may be sent the request, it is refused at once, with the time until the first pause ends ("servers-paused", "owner-paused"). Values that are no number of seconds are ignored, and 5 minutes are the most. The pause is kept with the observed load, so it is lost if the entry goes and returns. Log event 912.

--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -32,6 +32,7 @@
 /// Longer than the entry of a stopped server remains in the store.
 constexpr auto kReplacedEjectionTime = std::chrono::seconds(10);
 constexpr auto kMaxEjectionTime = std::chrono::seconds(4);
+constexpr auto kMaxPause = std::chrono::minutes(5);
 
 }  // namespace
 
@@ -43,7 +44,8 @@
       typical(std::move(typical)),
       last_decrease(now - kDecreaseInterval),
       last_response(now),
-      ejected_until(now) {}
+      ejected_until(now),
+      paused_until(now) {}
 
 auto BackendLoad::ExpectedLatency(TimePoint now) const -> Duration {
   const auto idle = std::max(now - this->last_response, Duration(0));
@@ -129,6 +131,11 @@
   this->ejected_until = now + kReplacedEjectionTime;
 }
 
+auto BackendLoad::OnPaused(TimePoint now, Duration pause) -> void {
+  const auto until = now + std::min(pause, Duration(kMaxPause));
+  this->paused_until = std::max(this->paused_until, until);
+}
+
 auto BackendLoad::Decrease(TimePoint now, double factor) -> void {
   if (now - this->last_decrease < kDecreaseInterval) return;
   this->last_decrease = now;
--- a/src/backends/backend_target.h
+++ b/src/backends/backend_target.h
@@ -32,6 +32,15 @@
   [[nodiscard]] auto IsEjected(TimePoint now) const -> bool {
     return now < this->ejected_until;
   }
+  /// @return when the pause ends that the server asked for; in the past if it
+  ///   asked for none.
+  [[nodiscard]] auto PausedUntil() const -> TimePoint {
+    return this->paused_until;
+  }
+  /// @return whether the server wants no requests for now.
+  [[nodiscard]] auto IsPaused(TimePoint now) const -> bool {
+    return now < this->paused_until;
+  }
   /// @return whether one more request may be sent. A limit below one admits
   ///   that fraction of the calls, one request at a time, since many gateways
   ///   may share few slots.
@@ -59,6 +68,8 @@
   auto OnFailure(TimePoint now) -> void;
   /// Another server responds at the address: this one no longer runs.
   auto OnReplaced(TimePoint now) -> void;
+  /// The server wants no requests for this long, which is limited.
+  auto OnPaused(TimePoint now, Duration pause) -> void;
   /// This gateway abandoned the request, which is no sign of the server's
   /// health.
   auto OnAbandoned() -> void { --this->in_flight; }
@@ -79,6 +90,7 @@
   TimePoint last_decrease;
   TimePoint last_response;
   TimePoint ejected_until;
+  TimePoint paused_until;
   Duration ejection_time{0};
 };
 
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -65,5 +65,6 @@
 constexpr LogEvent kStoreRolledBack{908, LogLevel::kWarn, "store-rolled-back"};
 constexpr LogEvent kBackendOutdated{910, LogLevel::kInfo, "backend-outdated"};
 constexpr LogEvent kServerLeaving{911, LogLevel::kInfo, "server-leaving"};
+constexpr LogEvent kServerPaused{912, LogLevel::kInfo, "server-paused"};
 
 }  // namespace currantbeam::events
--- a/src/router/backend_chooser.cc
+++ b/src/router/backend_chooser.cc
@@ -48,7 +48,7 @@
     const bool was_tried = std::find(tried_servers.begin(), tried_servers.end(),
                                      target->entry.id) != tried_servers.end();
     if (was_tried || target->load.IsEjected(now)) continue;
-    if (!target->load.HasCapacity()) continue;
+    if (target->load.IsPaused(now) || !target->load.HasCapacity()) continue;
     ++compared;
     const auto cost = this->Cost(*target, kind, now);
     if (best != nullptr && cost >= best_cost) continue;
--- a/src/router/end_to_end_headers.cc
+++ b/src/router/end_to_end_headers.cc
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace currantbeam {
 namespace {
 
+constexpr auto kMaxParsedTime = std::chrono::hours(24 * 365);
+
 /// Headers that apply to a single connection and are not forwarded.
 constexpr std::array<http::field, 8> kHopByHopHeaders = {
     http::field::connection,       http::field::keep_alive,
@@ -39,4 +42,17 @@
   return number;
 }
 
+auto ParseSeconds(std::string_view text)
+    -> std::optional<std::chrono::milliseconds> {
+  double seconds = 0;
+  const auto* end = text.data() + text.size();
+  const auto result =
+      std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  if (!std::isfinite(seconds) || std::signbit(seconds)) return std::nullopt;
+  const std::chrono::duration<double> max = kMaxParsedTime;
+  return std::chrono::milliseconds(
+      std::llround(std::min(seconds, max.count()) * 1000));
+}
+
 }  // namespace currantbeam
--- a/src/router/end_to_end_headers.h
+++ b/src/router/end_to_end_headers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -14,6 +15,11 @@
 /// @return the text as a decimal number; nothing unless all of it is one.
 auto ParseNumber(std::string_view text) -> std::optional<std::int64_t>;
 
+/// @return the text as a time, which is limited to a year; nothing unless it is
+///   a decimal number of seconds, which may have a fraction.
+auto ParseSeconds(std::string_view text)
+    -> std::optional<std::chrono::milliseconds>;
+
 inline auto ToView(boost::string_view text) -> std::string_view {
   return {text.data(), text.size()};
 }
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -128,7 +128,12 @@
 auto ForwardedRequest::RespondAfterLastAttempt(AttemptOutcome last,
                                                BackendTarget& target) -> void {
   if (last != AttemptOutcome::kMayHaveRun) {
-    this->Refuse("servers-refused", this->TimeToRetryAfter(target), &target);
+    const auto& servers =
+        this->request.state.directory.Ready(this->request.service);
+    const auto pause = this->request.is_keyed ? this->PauseLeft(target)
+                                              : this->PauseLeft(servers);
+    this->Refuse("servers-refused",
+                 pause.value_or(this->TimeToRetryAfter(target)), &target);
     return;
   }
   const bool is_timed_out = this->request.TimeLeft() <= kMinAttemptTime;
@@ -167,12 +172,38 @@
     // All servers were tried; one that refused may have capacity now.
     target = state.chooser.Choose(servers, kind, {});
   }
-  if (target == nullptr) {
-    this->Refuse(servers.empty() ? "no-server" : "no-room", kNoRoomRetryAfter);
-  }
+  if (target == nullptr) this->RefuseWithoutServer(servers);
   return target;
 }
 
+auto ForwardedRequest::RefuseWithoutServer(
+    const std::vector<BackendTargetPtr>& servers) -> void {
+  if (const auto pause = this->PauseLeft(servers)) {
+    this->Refuse("servers-paused", *pause);
+    return;
+  }
+  this->Refuse(servers.empty() ? "no-server" : "no-room", kNoRoomRetryAfter);
+}
+
+auto ForwardedRequest::PauseLeft(const BackendTarget& target) const
+    -> std::optional<std::chrono::milliseconds> {
+  const auto now = this->request.state.clock.Now();
+  if (!target.load.IsPaused(now)) return std::nullopt;
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      target.load.PausedUntil() - now);
+}
+
+auto ForwardedRequest::PauseLeft(const std::vector<BackendTargetPtr>& servers)
+    const -> std::optional<std::chrono::milliseconds> {
+  const auto first = std::min_element(
+      servers.begin(), servers.end(),
+      [](const BackendTargetPtr& a, const BackendTargetPtr& b) {
+        return a->load.PausedUntil() < b->load.PausedUntil();
+      });
+  if (first == servers.end()) return std::nullopt;
+  return this->PauseLeft(**first);
+}
+
 auto ForwardedRequest::FindOwnerTarget(int key) -> BackendTargetPtr {
   auto& state = this->request.state;
   const auto* owner = state.owners.Find(this->request.service, key);
@@ -198,6 +229,10 @@
     this->Refuse("owner-failing", kNoRoomRetryAfter, target.get());
     return nullptr;
   }
+  if (const auto pause = this->PauseLeft(*target)) {
+    this->Refuse("owner-paused", *pause, target.get());
+    return nullptr;
+  }
   if (would_miss_deadline || !target->load.Admit()) {
     this->Refuse("owner-busy", this->TimeToRetryAfter(*target), target.get());
     return nullptr;
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -43,6 +43,17 @@
   /// @return the server that owns the key; null if it is unknown or can't run
   ///   the request now, in which case the request has been refused.
   auto FindOwnerTarget(int key) -> BackendTargetPtr;
+  /// Refuses the request, as none of the servers can be sent it now.
+  auto RefuseWithoutServer(const std::vector<BackendTargetPtr>& servers)
+      -> void;
+  /// @return the time until the server wants requests again; nothing if it does
+  ///   now.
+  [[nodiscard]] auto PauseLeft(const BackendTarget& target) const
+      -> std::optional<std::chrono::milliseconds>;
+  /// @return the time until the first of the servers wants requests again;
+  ///   nothing if one of them does now.
+  [[nodiscard]] auto PauseLeft(const std::vector<BackendTargetPtr>& servers)
+      const -> std::optional<std::chrono::milliseconds>;
   auto RunAttempt(BackendTarget& target) -> AttemptOutcome;
   /// Responds with an error after an attempt that is not retried.
   /// @param target  the server of that attempt.
--- a/src/router/forwarding_headers.h
+++ b/src/router/forwarding_headers.h
@@ -19,6 +19,7 @@
   std::string not_run;       ///< In responses: the request was not run.
   std::string seal;          ///< In responses: shows that a server sent it.
   std::string leaving;       ///< In responses: kServerLeaves if it leaves.
+  std::string pause;  ///< In 503: seconds for which it wants no requests.
 };
 
 }  // namespace currantbeam
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -161,6 +161,16 @@
   if (connection.Field(headers.leaving) == kServerLeaves) {
     this->request.state.directory.OnLeaving(entry.id, entry.started);
   }
+  if (connection.Head().result() != http::status::service_unavailable) return;
+  const auto pause = ParseSeconds(connection.Field(headers.pause));
+  if (!pause) return;
+  auto& load = this->target.load;
+  const auto now = this->request.state.clock.Now();
+  if (!load.IsPaused(now)) {
+    Log(events::kServerPaused,
+        {{"server", entry.id.Value()}, {"pause_ms", pause->count()}});
+  }
+  load.OnPaused(now, *pause);
 }
 
 auto ServerAttempt::RecordRefusal(HttpConnection& connection,
--- a/src/router/server_attempt.h
+++ b/src/router/server_attempt.h
@@ -37,7 +37,7 @@
   /// @return whether the response may be relayed. A success must carry the
   ///   server's seal and this request's id, and no content encoding.
   [[nodiscard]] auto IsUsable(HttpConnection& connection) const -> bool;
-  /// Records that the server leaves, if the response says so.
+  /// Records that the server leaves, or for how long it wants no requests.
   auto RecordServerState(const HttpConnection& connection) -> void;
   auto RecordRefusal(HttpConnection& connection, http::status status)
       -> AttemptOutcome;
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -97,6 +97,11 @@
 
 auto WireBackend::AddServerState(HttpResponse& response) const -> void {
   if (this->behaviour.is_leaving) response.set("Server-Leaving", "1");
+  const bool is_rejection =
+      response.result() == http::status::service_unavailable;
+  if (is_rejection && !this->behaviour.retry_after.empty()) {
+    response.set(http::field::retry_after, this->behaviour.retry_after);
+  }
 }
 
 auto WireBackend::MayRun(const HttpRequest& request) const -> bool {
@@ -117,8 +122,10 @@
     this->SendNotExecuted(exchange, http::status::misdirected_request);
     return;
   }
-  if (this->running >= this->behaviour.slots &&
-      this->waiting >= this->behaviour.queue_limit) {
+  const bool is_full = this->running >= this->behaviour.slots &&
+                       this->waiting >= this->behaviour.queue_limit;
+  if (is_full || this->behaviour.reject_requests > 0) {
+    if (!is_full) --this->behaviour.reject_requests;
     this->SendNotExecuted(exchange, http::status::service_unavailable);
     return;
   }
--- a/src/standins/wire/wire_backend.h
+++ b/src/standins/wire/wire_backend.h
@@ -24,6 +24,9 @@
   int stray_responses = 0;
   /// Runs the request, then responds with status 500.
   int fail_requests = 0;
+  /// Rejects requests with status 503, as if it were full.
+  int reject_requests = 0;
+  std::string retry_after;  ///< Retry-After of rejections; none if empty.
   bool is_leaving = false;  ///< Says in each response that the server leaves.
 };
 
--- a/tests/platform_wire/server_state_test.cc
+++ b/tests/platform_wire/server_state_test.cc
@@ -8,6 +8,12 @@
 
 using std::chrono::milliseconds;
 
+/// @return the Retry-After in seconds; 0 if there is none.
+auto RetryAfterOf(const HttpResponse& response) -> double {
+  const std::string text(response[http::field::retry_after]);
+  return text.empty() ? 0 : std::stod(text);
+}
+
 /// A router with two plain and two keyed servers, some of which state in their
 /// responses that they leave or want no requests for some time.
 class ServerState : public testing::Test {
@@ -126,5 +132,91 @@
   });
 }
 
+class PausedServer : public ServerState {
+ protected:
+  /// Has the server reject one request with this Retry-After.
+  auto Pause(int number, const std::string& retry_after) -> void {
+    auto& behaviour = this->fleet.Backend(number).behaviour;
+    behaviour.retry_after = retry_after;
+    behaviour.reject_requests = 1;
+    ASSERT_TRUE(WireFleet::Await([&] {
+      this->SendOne();
+      return behaviour.reject_requests == 0;
+    }));
+  }
+};
+
+TEST_F(PausedServer, GetsNoRequestsUntilItsPauseEnds) {
+  this->fleet.Run([&] {
+    this->Pause(0, "1.5");
+    const auto paused_at = std::chrono::steady_clock::now();
+    const auto before = this->RunsOf(0);
+    while (std::chrono::steady_clock::now() - paused_at < milliseconds(1200)) {
+      EXPECT_EQ(this->SendOne(), 200U);
+    }
+    EXPECT_EQ(this->RunsOf(0), before);
+    EXPECT_TRUE(this->AwaitRun(0));
+  });
+}
+
+TEST_F(PausedServer, WithoutAnAlternativeRequestsAreRefusedUntilItsPauseEnds) {
+  this->fleet.Run([&] {
+    this->fleet.Unregister(1);
+    ASSERT_TRUE(WireFleet::Await([&] {
+      return this->fleet.Metrics().find("currantbeam_servers 3\n") !=
+             std::string::npos;
+    }));
+    this->Pause(0, "1.5");
+    const auto before = this->RunsOf(0);
+    for (int i = 0; i < 10; ++i) {
+      const auto sent_at = std::chrono::steady_clock::now();
+      const auto response =
+          this->fleet.Send("/order/a", "order-" + std::to_string(i));
+      EXPECT_LT(std::chrono::steady_clock::now() - sent_at, milliseconds(300));
+      EXPECT_EQ(response.result_int(), 503U);
+      const auto retry_after = RetryAfterOf(response);
+      EXPECT_GT(retry_after, 0.5);
+      EXPECT_LE(retry_after, 1.5);
+    }
+    EXPECT_EQ(this->RunsOf(0), before);
+    EXPECT_TRUE(this->AwaitRun(0));
+  });
+}
+
+TEST_F(PausedServer, GetsNoRequestsOfItsKeysUntilItsPauseEnds) {
+  this->fleet.Run([&] {
+    const auto send = [&] {
+      return this->fleet.Send("/keyed/a",
+                              "id-" + std::to_string(this->sent_count++),
+                              http::verb::get, 7);
+    };
+    ASSERT_TRUE(WireFleet::Await([&] { return send().result_int() == 200; }));
+    const int owner = this->RunsOf(2) != 0 ? 2 : 3;
+    auto& behaviour = this->fleet.Backend(owner).behaviour;
+    behaviour.retry_after = "1.5";
+    behaviour.reject_requests = 1;
+    EXPECT_EQ(send().result_int(), 503U);
+    const auto before = this->RunsOf(owner);
+    const auto response = send();
+    EXPECT_EQ(response.result_int(), 503U);
+    EXPECT_GT(RetryAfterOf(response), 0.5);
+    EXPECT_EQ(this->RunsOf(owner), before);
+    EXPECT_TRUE(WireFleet::Await([&] { return send().result_int() == 200; }));
+  });
+}
+
+TEST_F(PausedServer, IsNotExcludedByAnInvalidPause) {
+  this->fleet.Run([&] {
+    for (const auto* retry_after : {"-5", "nan", "inf", "soon", "5 s", "0"}) {
+      this->Pause(0, retry_after);
+      const auto paused_at = std::chrono::steady_clock::now();
+      EXPECT_TRUE(this->AwaitRun(0)) << retry_after;
+      EXPECT_LT(std::chrono::steady_clock::now() - paused_at,
+                milliseconds(3000))
+          << retry_after;
+    }
+  });
+}
+
 }  // namespace
 }  // namespace currantbeam
--- a/tests/router/backend_directory_test.cc
+++ b/tests/router/backend_directory_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "backends/backends.h"
+#include "router/end_to_end_headers.h"
 #include "router/make_entry.h"
 
 namespace currantbeam {
@@ -153,5 +154,30 @@
   EXPECT_TRUE(this->IsReady());
 }
 
+TEST(BackendLoad, LimitsThePauseThatAServerAsksFor) {
+  ManualClock clock;
+  BackendLoad load(4, std::make_shared<TypicalLatency>(milliseconds(10)),
+                   clock.Now());
+  EXPECT_FALSE(load.IsPaused(clock.Now()));
+  load.OnPaused(clock.Now(), seconds(2));
+  load.OnPaused(clock.Now(), seconds(1));
+  EXPECT_TRUE(load.IsPaused(clock.Now() + milliseconds(1999)));
+  EXPECT_FALSE(load.IsPaused(clock.Now() + seconds(2)));
+  load.OnPaused(clock.Now(), std::chrono::hours(1000));
+  EXPECT_TRUE(load.IsPaused(clock.Now() + seconds(299)));
+  EXPECT_FALSE(load.IsPaused(clock.Now() + seconds(300)));
+}
+
+TEST(ParseSeconds, ReadsDecimalNumbersOnly) {
+  EXPECT_EQ(ParseSeconds("2"), milliseconds(2000));
+  EXPECT_EQ(ParseSeconds("0.25"), milliseconds(250));
+  for (const auto* text : {"", "-1", "-0", "nan", "inf", "1e3", "2 s", " 2",
+                           "Sat, 05 Dec 2026 00:00:00 GMT"}) {
+    EXPECT_EQ(ParseSeconds(text), std::nullopt) << text;
+  }
+  EXPECT_EQ(ParseSeconds("99999999999999999999999"),
+            milliseconds(std::chrono::hours(24 * 365)));
+}
+
 }  // namespace
 }  // namespace currantbeam
