Permit trials on the host while no coordinator is known

What callers saw, if a suspect request ended on a host that did not know the coordinator's endpoint: the process of the host ended, with all requests in it.

Found by a review.

Evidence: PeerExchange.HostsWithoutAKnownCoordinatorPermitTrialsThemselves ended its program ("terminate called", InputError) without the change.

--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -249,10 +249,10 @@
 
 auto PeerExchange::SendTrial(const TrialMessage& message)
     -> std::optional<bool> {
-  const auto endpoint = ParseEndpoint(this->coordinator->ReportEndpoint());
-  if (!this->IsInContact() || endpoint.port == 0) return std::nullopt;
+  const auto endpoint = ReportEndpoint(*this->coordinator);
+  if (!this->IsInContact() || !endpoint) return std::nullopt;
   try {
-    const auto response = Post(endpoint, kTrialPath, message.Encode());
+    const auto response = Post(*endpoint, kTrialPath, message.Encode());
     const bool is_granted = response.result() == http::status::ok;
     if (!is_granted && response.result() != http::status::conflict) {
       return std::nullopt;
@@ -261,7 +261,7 @@
                            this->clock.Now());
     return is_granted;
   } catch (const Error& error) {
-    Log(events::kReportLost, {{"keeper", FormatEndpoint(endpoint)},
+    Log(events::kReportLost, {{"keeper", FormatEndpoint(*endpoint)},
                               {"path", kTrialPath},
                               {"error", error.what()}});
   }
