Count failed calls for the owner, not for its address

What callers can see: a server that starts at the address of one that ended more than 1.5 s before gets no keys for as long as the same host coordinates, so the others serve its share.

Cause: failures in a row were counted for an address, so the failed calls to the owner that had ended made its successor ineligible. An ineligible server gets no call that could succeed.

Change: the failures are those of one owner. An owner that was found to have ended is left out for 10 s, longer than its entry stays, and not for good.

Evidence: KeyCoordinator.AServerGetsKeysAtTheAddressOfOneThatEndedLongBefore failed without the comparison of owners (no grant within 15 s, in 2 of 2 runs).

--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -20,6 +20,9 @@
 /// stripes get other owners once its grants have expired.
 constexpr auto kUnreachableTimeout = std::chrono::milliseconds(1500);
 constexpr int kMaxCallsPerServer = 4;
+/// How long an owner that was found to have ended is not called. Its entry is
+/// removed earlier.
+constexpr auto kReplacedRetention = std::chrono::seconds(10);
 
 auto OwnerOf(const BackendEntry& entry) -> KeyOwner {
   return {entry.id, entry.started, entry.address, entry.port};
@@ -216,7 +219,7 @@
 auto KeyCoordinator::Call(CallQueue& queue, const KeyCommand& command,
                           GrantScheduler& scheduler) -> bool {
   const bool is_paused = this->clock.Now() < queue.paused_until;
-  const bool has_ended = queue.replaced == command.owner;
+  const bool has_ended = this->IsReplaced(queue, command.owner);
   if (is_paused || has_ended || this->stopped || !this->lease.IsHeld()) {
     scheduler.OnNotSent(command);
     return true;
@@ -254,7 +257,7 @@
     return true;
   }
   const bool is_unreachable = result.reply == GrantReply::kConnectFailed;
-  this->RecordReply(queue,
+  this->RecordReply(queue, command.owner,
                     !is_unreachable && result.reply != GrantReply::kNoResponse);
   if (is_unreachable) {
     scheduler.OnOwnerUnreachable(command.owner);
@@ -276,7 +279,7 @@
     this->OnOwnerReplaced(scheduler, command);
     return;
   }
-  this->RecordReply(queue, reply.is_released);
+  this->RecordReply(queue, command.owner, reply.is_released);
   if (reply.has_connect_failed) {
     scheduler.OnOwnerUnreachable(command.owner);
     scheduler.OnNotSent(command);
@@ -285,12 +288,13 @@
   }
 }
 
-auto KeyCoordinator::RecordReply(CallQueue& queue, bool has_responded) -> void {
+auto KeyCoordinator::RecordReply(CallQueue& queue, const KeyOwner& owner,
+                                 bool has_responded) -> void {
   const auto now = this->clock.Now();
-  if (has_responded) {
-    queue.failures_in_row = 0;
-    return;
-  }
+  // Another server may use the address by now.
+  if (has_responded || !(queue.failing == owner)) queue.failures_in_row = 0;
+  if (has_responded) return;
+  queue.failing = owner;
   if (queue.failures_in_row == 0) queue.first_failure_at = now;
   if (++queue.failures_in_row >= kMinFailuresToPause) {
     queue.paused_until = now + kPauseAfterFailures;
@@ -299,16 +303,26 @@
 
 auto KeyCoordinator::OnOwnerReplaced(GrantScheduler& scheduler,
                                      const KeyCommand& command) -> void {
-  this->queues[QueueKey(command.owner)].replaced = command.owner;
+  auto& queue = this->queues[QueueKey(command.owner)];
+  queue.replaced = command.owner;
+  queue.replaced_until = this->clock.Now() + kReplacedRetention;
+  queue.paused_until = TimePoint{};
   scheduler.OnOwnerReplaced(command.owner);
   scheduler.OnNotSent(command);
 }
 
+auto KeyCoordinator::IsReplaced(const CallQueue& queue,
+                                const KeyOwner& owner) const -> bool {
+  return queue.replaced == owner && this->clock.Now() < queue.replaced_until;
+}
+
 auto KeyCoordinator::IsUnreachable(const KeyOwner& owner) const -> bool {
   const auto it = this->queues.find(QueueKey(owner));
   if (it == this->queues.end()) return false;
-  if (it->second.replaced == owner) return true;
-  if (it->second.failures_in_row == 0) return false;
+  if (this->IsReplaced(it->second, owner)) return true;
+  const bool is_failing =
+      it->second.failures_in_row != 0 && it->second.failing == owner;
+  if (!is_failing) return false;
   return this->clock.Now() - it->second.first_failure_at > kUnreachableTimeout;
 }
 
--- a/src/keys/key_coordinator.h
+++ b/src/keys/key_coordinator.h
@@ -76,10 +76,13 @@
     int fibers = 0;
     int grants_in_flight = 0;
     TimePoint paused_until{};
+    KeyOwner failing;              ///< The owner whose calls failed in a row.
     TimePoint first_failure_at{};  ///< Of the failures in a row.
     int failures_in_row = 0;
-    /// The last owner with this address that was found to have ended.
+    /// The last owner with this address that was found to have ended, which is
+    /// not called until then.
     KeyOwner replaced;
+    TimePoint replaced_until{};
   };
 
   auto RunLease() -> void;
@@ -108,11 +111,14 @@
                  GrantScheduler& scheduler) -> bool;
   auto CallRelease(CallQueue& queue, const KeyCommand& command,
                    GrantScheduler& scheduler) -> void;
-  auto RecordReply(CallQueue& queue, bool has_responded) -> void;
+  auto RecordReply(CallQueue& queue, const KeyOwner& owner, bool has_responded)
+      -> void;
   /// Another server responded to a command at the owner's address.
   auto OnOwnerReplaced(GrantScheduler& scheduler, const KeyCommand& command)
       -> void;
-  /// @return whether calls to the owner's address have failed for too long, or
+  [[nodiscard]] auto IsReplaced(const CallQueue& queue,
+                                const KeyOwner& owner) const -> bool;
+  /// @return whether calls to the owner have failed for too long, or
   ///   another server has responded to one.
   [[nodiscard]] auto IsUnreachable(const KeyOwner& owner) const -> bool;
   static auto QueueKey(const KeyOwner& owner) -> std::string;
--- a/tests/keys/key_coordinator_test.cc
+++ b/tests/keys/key_coordinator_test.cc
@@ -59,6 +59,30 @@
   std::map<int, Acceptance> accepted;  ///< The last one, by first key.
 };
 
+/// Two servers that use one address in turn. The first one ends without notice.
+class SuccessiveServers : public GrantClient {
+ public:
+  auto Grant(const GrantCall& call) -> GrantResult override {
+    SleepFor(milliseconds(1));
+    if (this->listening.IsEmpty()) return {GrantReply::kConnectFailed};
+    if (call.owner.id != this->listening) return {GrantReply::kOtherServer};
+    ++this->accepted;
+    return {GrantReply::kAccepted, 1};
+  }
+  auto Release(const KeyOwner& owner, KeyRange /*keys*/, FencingToken /*token*/,
+               milliseconds /*timeout*/) -> ReleaseReply override {
+    SleepFor(milliseconds(1));
+    ReleaseReply reply;
+    reply.has_connect_failed = this->listening.IsEmpty();
+    reply.is_released = owner.id == this->listening;
+    reply.is_other_server = !reply.has_connect_failed && !reply.is_released;
+    return reply;
+  }
+
+  ServerId listening;  ///< Empty while no server uses the address.
+  int accepted = 0;
+};
+
 auto MakeEntry() -> BackendEntry {
   const auto owner = MakeOwner(0);
   BackendEntry entry;
@@ -99,5 +123,42 @@
   EXPECT_FALSE(servers.has_reused_token);
 }
 
+TEST(KeyCoordinator, AServerGetsKeysAtTheAddressOfOneThatEndedLongBefore) {
+  SteadyClock clock;
+  MemoryStore store(clock);
+  SuccessiveServers servers;
+  BackendDirectory directory(clock);
+  auto entry = MakeEntry();
+  directory.Apply(entry);
+  KeyCoordinator::Options options;
+  options.lease.holder = "a";
+  options.lease.is_first_start = true;
+  options.grant_timing.renewal_interval = milliseconds(200);
+  KeyCoordinator coordinator(store, servers, clock, directory, options,
+                             [](const OwnerUpdate& /*update*/) {});
+  FiberLoop loop;
+  RunInFiber(loop, [&] {
+    coordinator.SetServices({kService});
+    coordinator.Start();
+    servers.listening = entry.id;
+    while (servers.accepted < kDefaultStripeCount) SleepFor(milliseconds(1));
+    // The coordinator takes the server for unreachable before the next starts.
+    servers.listening = ServerId();
+    SleepFor(milliseconds(2500));
+    directory.Remove(entry.id);
+    entry.id = ServerId("next");
+    entry.started += milliseconds(1);
+    directory.Apply(entry);
+    servers.listening = entry.id;
+    servers.accepted = 0;
+    const auto give_up_at = clock.Now() + std::chrono::seconds(15);
+    while (servers.accepted == 0 && clock.Now() < give_up_at) {
+      SleepFor(milliseconds(1));
+    }
+    coordinator.Stop();
+  });
+  EXPECT_GT(servers.accepted, 0);
+}
+
 }  // namespace
 }  // namespace currantbeam
