Match responses to grants and releases with the call's id

What callers can see: a server that repeats the response to a grant on a kept connection makes the coordinator take a release for answered, so that the keys get another owner while the first one is at work (OWNER).

Cause: requests of callers skip responses with another id, the coordinator's calls to servers had none. The rule that a connection shows which process responds also needs the response to belong to the call. Found by a review.

A server that leaves the id out is believed as before.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -321,8 +321,8 @@
 }
 
 auto FetchOver(ConnectionPool& pool, std::unique_ptr<HttpConnection> connection,
-               HttpRequest request, std::chrono::milliseconds timeout)
-    -> HttpResponse {
+               HttpRequest request, std::chrono::milliseconds timeout,
+               const std::string& id_header) -> HttpResponse {
   const RemainingTime remaining(timeout);
   const auto address = connection->Address();
   const auto port = connection->Port();
@@ -336,6 +336,11 @@
     if (chunk.empty()) break;
     response.body().append(chunk);
   }
+  const auto id = id_header.empty() ? "" : response[id_header];
+  if (!id.empty() && id != request[id_header]) {
+    throw RequestError(Verdict::kMayHaveRun,
+                       "the response belongs to another request");
+  }
   pool.Release(address, port, std::move(connection));
   return response;
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -142,10 +142,12 @@
 /// The connection is returned to the pool afterwards, or closed after a
 /// failure.
 /// @param timeout  for the whole exchange.
+/// @param id_header  the header in which a response repeats the request's ID. A
+///   response with another ID belongs to another request and is a failure.
 /// @throws RequestError which says whether the request may have run.
 auto FetchOver(ConnectionPool& pool, std::unique_ptr<HttpConnection> connection,
-               HttpRequest request, std::chrono::milliseconds timeout)
-    -> HttpResponse;
+               HttpRequest request, std::chrono::milliseconds timeout,
+               const std::string& id_header = {}) -> HttpResponse;
 
 /// Sends a request and reads the whole response, over a connection of the
 /// calling thread's pool. TCP keepalive is enabled on new connections.
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -85,6 +85,7 @@
                                     expires_at - this->clock.Now());
   }
   HttpResponse response{http::status::ok, 11};
+  response.set("X-Request-Id", Header(exchange.Request(), "X-Request-Id"));
   if (is_release) response.set("X-Handover", "from-" + this->id);
   exchange.Send(std::move(response));
 }
