Expect that the scheduler permits each grant of its unit tests

Until now a grant that PermitGrant() refused counted as not sent, while its stripe was recorded as granted.

--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -172,7 +172,7 @@
           scheduler.OnOwnerUnreachable(command.owner);
           scheduler.OnNotSent(command);
         } else {
-          ReplyToGrant(scheduler, command, GrantReply::kAccepted);
+          EXPECT_TRUE(ReplyToGrant(scheduler, command, GrantReply::kAccepted));
         }
       }
       if (!scheduler.PlanChange()) continue;
@@ -205,7 +205,7 @@
   ASSERT_TRUE(scheduler.PlanChange());
   scheduler.OnCommitted({0, 1});
   for (const auto& command : scheduler.TakeDueCommands()) {
-    ReplyToGrant(scheduler, command, GrantReply::kAccepted);
+    EXPECT_TRUE(ReplyToGrant(scheduler, command, GrantReply::kAccepted));
   }
   servers.pop_back();
   scheduler.SetServers(servers, {});
@@ -257,7 +257,7 @@
       for (const auto& command : scheduler.TakeDueCommands()) {
         if (command.kind != KeyCommand::Kind::kGrant) continue;
         held_until[command.stripe] = clock.Now() + command.ttl;
-        ReplyToGrant(scheduler, command, GrantReply::kAccepted);
+        EXPECT_TRUE(ReplyToGrant(scheduler, command, GrantReply::kAccepted));
       }
       if (!can_renew || !scheduler.PlanChange()) continue;
       ++version.number;
@@ -297,7 +297,8 @@
       for (const auto& command : service.TakeDueCommands(servers)) {
         if (command.kind == KeyCommand::Kind::kGrant) {
           granted_at[command.stripe] = clock.Now();
-          ReplyToGrant(service.Scheduler(), command, GrantReply::kAccepted);
+          EXPECT_TRUE(ReplyToGrant(service.Scheduler(), command,
+                                   GrantReply::kAccepted));
         } else {
           service.Scheduler().OnReleaseReply(command, {true, false, "x"});
         }
--- a/tests/keys/replaced_owner_test.cc
+++ b/tests/keys/replaced_owner_test.cc
@@ -18,7 +18,8 @@
     this->scheduler.SetServers(this->servers, {});
     this->CommitChange();
     for (const auto& command : this->scheduler.TakeDueCommands()) {
-      ReplyToGrant(this->scheduler, command, GrantReply::kAccepted);
+      EXPECT_TRUE(
+          ReplyToGrant(this->scheduler, command, GrantReply::kAccepted));
     }
   }
 
@@ -71,7 +72,7 @@
   this->clock.Advance(std::chrono::seconds(2));
   this->CommitChange();
   for (const auto& command : this->scheduler.TakeDueCommands()) {
-    ReplyToGrant(this->scheduler, command, GrantReply::kAccepted);
+    EXPECT_TRUE(ReplyToGrant(this->scheduler, command, GrantReply::kAccepted));
   }
   this->scheduler.OnOwnerUnreachable(owner);
   this->scheduler.OnAddressReused(owner.address, owner.port, owner.id,
--- a/tests/keys/test_servers.h
+++ b/tests/keys/test_servers.h
@@ -23,13 +23,16 @@
 }
 
 /// Sends the grant and gets the reply at once.
-inline auto ReplyToGrant(GrantScheduler& scheduler, KeyCommand command,
-                         GrantReply reply) -> void {
-  if (scheduler.PermitGrant(command)) {
-    scheduler.OnGrantReply(command, {reply, 1});
-  } else {
+/// @return false if the scheduler does not permit the grant.
+[[nodiscard]] inline auto ReplyToGrant(GrantScheduler& scheduler,
+                                       KeyCommand command, GrantReply reply)
+    -> bool {
+  if (!scheduler.PermitGrant(command)) {
     scheduler.OnNotSent(command);
+    return false;
   }
+  scheduler.OnGrantReply(command, {reply, 1});
+  return true;
 }
 
 }  // namespace currantbeam
