--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -153,7 +153,10 @@
   fields[field] = text;
   std::string value;
   for (const auto& [name, field_text] : fields) {
-    value += (value.empty() ? "{\"" : ",\"") + name + "\":" + field_text;
+    value += value.empty() ? "{\"" : ",\"";
+    value += name;
+    value += "\":";
+    value += field_text;
   }
   return PlatformSchema().DecodeBackend(
       {{"servers", "", "a"}, value + "}", {0, 1}, false});
--- a/tests/policy/request_quarantine_test.cc
+++ b/tests/policy/request_quarantine_test.cc
@@ -136,7 +136,7 @@
 
 TEST_F(Quarantine, KeepsABoundedNumberOfEntries) {
   for (int i = 0; i < 1000; ++i) {
-    const auto request = static_cast<RequestFingerprint>(100 + i);
+    const auto request = RequestFingerprint{100} + i;
     this->EndServers(3 * i, 3 * i + 2, request);
   }
   for (int i = 0; i < 1000; ++i) {
@@ -242,8 +242,8 @@
 TEST(QuarantineMerge, HasTheSameResultForAllOrdersOfStatesWithoutAnswers) {
   EXPECT_TRUE(rc::check("the order of merges does not matter", [] {
     const TimePoint now{seconds(1000)};
-    std::vector<QuarantineState> states;
-    for (int i = 0; i < 3; ++i) states.push_back(ArbitraryState(now));
+    std::vector<QuarantineState> states(3);
+    for (auto& state : states) state = ArbitraryState(now);
     RequestQuarantine forwards;
     RequestQuarantine backwards;
     for (const auto& state : states) forwards.Merge(state, now);
