--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -28,7 +28,7 @@
   this->version = version;
   this->stripes.assign(this->map.StripeCount(), Stripe());
   ++this->epoch;
-  this->sessions.clear();
+  this->sessions.Clear();
   this->is_commit_pending = false;
   this->is_commit_due = false;
   this->paused_until = TimePoint{};
@@ -61,7 +61,7 @@
 }
 
 auto GrantScheduler::OnOwnerUnreachable(const KeyOwner& owner) -> void {
-  if (this->FindSession(owner) != nullptr) this->sessions.erase(owner.id);
+  this->sessions.End(owner);
   for (int i = 0; i < this->map.StripeCount(); ++i) {
     const auto* stripe_owner = this->map.OwnerOf(i);
     if (stripe_owner == nullptr || !(*stripe_owner == owner)) continue;
@@ -166,7 +166,7 @@
   std::vector<bool> needs_probe(this->servers.size());
   for (std::size_t i = 0; i < this->servers.size(); ++i) {
     const auto& owner = this->servers[i].owner;
-    const auto* session = this->FindSession(owner);
+    const auto* session = this->sessions.Find(owner);
     if (session == nullptr || !session->is_confirmed) continue;
     const auto response_age = now - session->last_response_at;
     if (response_age > this->timing.max_response_age) {
@@ -193,33 +193,18 @@
   }
 }
 
-auto GrantScheduler::FindSession(const KeyOwner& owner) -> Session* {
-  const auto it = this->sessions.find(owner.id);
-  const bool is_found = it != this->sessions.end() && it->second.owner == owner;
-  return is_found ? &it->second : nullptr;
-}
-
-auto GrantScheduler::BeginSession(const KeyOwner& owner) -> Session& {
-  auto& session = this->sessions[owner.id];
-  session = Session();
-  session.number = ++this->session_count;
-  session.owner = owner;
-  return session;
-}
-
 auto GrantScheduler::PermitGrant(KeyCommand& command) -> bool {
   const bool is_current = command.epoch == this->epoch &&
                           command.token == this->map.TokenOf(command.stripe);
   if (!is_current) return false;
   auto& stripe = this->stripes[command.stripe];
-  const auto* session = this->FindSession(command.owner);
+  const auto* session = this->sessions.Find(command.owner);
   const int number = session == nullptr ? 0 : session->number;
   stripe.is_token_stale |= stripe.session != 0 && stripe.session != number;
   if (stripe.is_token_stale) return false;
-  if (session == nullptr) session = &this->BeginSession(command.owner);
+  if (session == nullptr) session = &this->sessions.Begin(command.owner);
   command.session = session->number;
-  command.max_connection.reset();
-  if (session->is_confirmed) command.max_connection = session->max_connection;
+  command.max_connection = session->PermittedConnections();
   return true;
 }
 
@@ -229,21 +214,9 @@
   const bool is_current_token =
       command.token == this->map.TokenOf(command.stripe);
   if (is_current_token) stripe.session = command.session;
-  auto* session = this->FindSession(command.owner);
-  if (session == nullptr || session->number != command.session) {
-    stripe.is_token_stale |= is_current_token;
-    return;
-  }
-  if (result.reply != GrantReply::kNoResponse) {
-    session->is_confirmed = true;
-    session->max_connection =
-        std::max(session->max_connection, result.newest_connection);
-    session->last_response_at = this->clock.Now();
-  } else if (!session->is_confirmed) {
-    // Another process may respond to the next call.
-    this->sessions.erase(command.owner.id);
-    stripe.is_token_stale |= is_current_token;
-  }
+  const bool is_open = this->sessions.OnReply(command.owner, command.session,
+                                              result, this->clock.Now());
+  stripe.is_token_stale |= !is_open && is_current_token;
 }
 
 auto GrantScheduler::Rebalance(TimePoint now) -> void {
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -2,10 +2,10 @@
 
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "keys/grant_client.h"
+#include "keys/grant_sessions.h"
 #include "keys/stripe_planner.h"
 #include "store/store_client.h"
 
@@ -153,22 +153,6 @@
     std::string handover;
   };
 
-  /// A time in which all grants to an owner reach the same process. Connections
-  /// that are older than a call which the process has responded to lead to it
-  /// as long as they are open.
-  struct Session {
-    int number = 0;  ///< Unique.
-    KeyOwner owner;
-    /// The process has responded. Until then, any connection may be used for
-    /// one grant at a time.
-    bool is_confirmed = false;
-    ConnectionNumber max_connection = 0;  ///< Of those that lead to it.
-    TimePoint last_response_at{};
-  };
-
-  /// @return the owner's session; null if there is none.
-  auto FindSession(const KeyOwner& owner) -> Session*;
-  auto BeginSession(const KeyOwner& owner) -> Session&;
   /// Applies the reply to a grant that may have reached the owner.
   auto UpdateSession(const KeyCommand& command, const GrantResult& result)
       -> void;
@@ -211,8 +195,7 @@
   std::vector<EligibleServer> servers;
   std::vector<double> loads;
   std::vector<Stripe> stripes;
-  std::unordered_map<ServerId, Session> sessions;
-  int session_count = 0;
+  GrantSessions sessions;
   TimePoint rebalanced_at{};
   TimePoint committed_at{};
   TimePoint unassigned_since{};
