Refuse late requests that the end of a stop could cut

Callers saw: in a planned stop in calm, requests that came late in the grace were passed on to a server and ended there without its answer, among them requests that must not be repeated (LOST).

Cause: the router accepted requests until half of the grace, and sent them if the server was expected to respond by 0.88 of it. With a grace of more than 6 s that is later than the 3 s after the SIGTERM for which a cut is excused. An expected latency is no bound: a request with a later deadline that waited longer in the server's queue was ended by the shortened deadline or by this host's own 504. Requests whose body arrived late were decided later still.

Change: StopSchedule::Allows decides before each send. From 2.8 s after the start of the stop on (3 s less the delay of the signal), and at the latest from half of the grace on, a request is sent only if its own deadline ends before the servers' deadline of the stop; otherwise it gets 503, not run, with the short Retry-After. The decision depends on the time of the send, so it also holds for slow bodies, requests that cross the closing of idle connections, and retries of refused requests. A request that may have run can't be refused, so its retry is decided by the expected latency as before.

--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -85,7 +85,7 @@
     if (this->RefuseIfSuspect()) return;
     const auto target = this->ChooseTarget();
     if (target == nullptr) return;
-    if (this->WouldOutlastStop(*target)) {
+    if (this->MayOutlastStop(*target)) {
       this->Refuse("stopping", kStoppingRetryAfter, target.get());
       return;
     }
@@ -128,14 +128,15 @@
   return true;
 }
 
-auto ForwardedRequest::WouldOutlastStop(const BackendTarget& target) const
+auto ForwardedRequest::MayOutlastStop(const BackendTarget& target) const
     -> bool {
-  const auto& stop = this->request.state.stop;
-  const auto now = this->request.state.clock.Now();
-  const auto expected_time =
-      std::max(target.load.ExpectedLatency(now), Duration(kMinAttemptTime));
-  return stop.servers_until < this->request.deadline &&
-         now + expected_time > stop.servers_until;
+  PlannedSend send;
+  send.at = this->request.state.clock.Now();
+  send.deadline = this->request.deadline;
+  send.expected_latency =
+      std::max(target.load.ExpectedLatency(send.at), Duration(kMinAttemptTime));
+  send.may_have_run = this->request.may_have_run;
+  return !this->request.state.stop.Allows(send);
 }
 
 auto ForwardedRequest::HasClientDisconnected() -> bool {
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -35,10 +35,9 @@
   /// @return whether it was refused.
   auto RefuseIfSuspect() -> bool;
   auto RefuseIfQuarantined() -> bool;
-  /// @return whether the process stops before this server is expected to
-  ///   respond.
-  [[nodiscard]] auto WouldOutlastStop(const BackendTarget& target) const
-      -> bool;
+  /// @return whether the stop of the process could cut the request, or its
+  ///   retry, at this server, so that it must not be sent.
+  [[nodiscard]] auto MayOutlastStop(const BackendTarget& target) const -> bool;
   /// Counts the request in the load of its key's stripe.
   auto RecordKeyLoad() -> void;
   /// @return whether the client is known to have closed its connection.
--- a/tests/platform_wire/stopping_test.cc
+++ b/tests/platform_wire/stopping_test.cc
@@ -156,5 +156,48 @@
   });
 }
 
+TEST_F(Shutdown, RefusesALateRequestThatItsEndCouldCut) {
+  this->fleet.SetStopGrace(std::chrono::seconds(10));
+  this->fleet.PutRoutes(2, kLongRoute);
+  this->fleet.Run([&] {
+    this->fleet.StopRouter();
+    EXPECT_TRUE(WireFleet::Await([&] { return !this->fleet.IsReady(); }));
+    SleepFor(std::chrono::seconds(3));
+    const auto short_answer =
+        this->fleet.Send("/order/a", "id-0", http::verb::post);
+    EXPECT_EQ(short_answer.result_int(), 200U);
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.work = kEndlessWork;
+    }
+    const auto long_answer = this->fleet.Send(
+        "/long/a", "id-1", http::verb::post, -1, std::chrono::seconds(9));
+    EXPECT_EQ(long_answer.result_int(), 503U);
+    EXPECT_EQ(long_answer[http::field::connection], "close");
+    EXPECT_EQ(this->fleet.RunCount("id-1"), 0);
+  });
+}
+
+TEST_F(Shutdown, RefusesARequestThatIsReceivedTooLateToBeAnswered) {
+  this->fleet.SetStopGrace(std::chrono::seconds(6));
+  this->fleet.PutRoutes(2, kLongRoute);
+  this->fleet.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      this->fleet.Backend(i).behaviour.work = kEndlessWork;
+    }
+    HttpConnection idle("127.0.0.1", this->fleet.CallersPort());
+    idle.Connect(std::chrono::seconds(1));
+    const auto answer = this->fleet.SendRaw(
+        "POST /long/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id-1\r\n"
+        "Content-Length: 4\r\n\r\nab",
+        [&] {
+          this->fleet.StopRouter();
+          EXPECT_TRUE(WireFleet::Await([&] { return idle.IsStale(); }));
+        },
+        "cd");
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(this->fleet.RunCount("id-1"), 0);
+  });
+}
+
 }  // namespace
 }  // namespace currantbeam
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -167,6 +167,45 @@
   EXPECT_EQ(exchange.response.body(), "stopping\n");
 }
 
+/// Forwards a request to a server that refuses connections, on a host that was
+/// told to stop.
+/// @param after  the time from the start of the stop to the request.
+/// @param timeout  of the route.
+/// @return the reason of the refusal.
+auto RefusalWhileStopping(milliseconds grace, milliseconds after,
+                          milliseconds timeout) -> std::string {
+  ManualClock clock;
+  BackendDirectory directory(clock);
+  auto entry = MakeEntry("a", 1);
+  entry.address = "127.0.0.1";
+  directory.Apply(entry);
+  OwnerDirectory owners(clock);
+  LoadRecorder loads;
+  RouteConfig config;
+  config.hosts["h"] = {MakeRoute("s", "/s/")};
+  config.hosts["h"].front().timeout = timeout;
+  ForwardingState state(clock, {}, directory, owners, loads,
+                        FailureDomain("x"));
+  state.routes = std::make_shared<const RouteTable>(config);
+  state.stop = StopSchedule(clock.Now(), grace);
+  clock.Advance(after);
+  RecordingExchange exchange;
+  FiberLoop loop;
+  RunInFiber(loop, [&] { ForwardedRequest(state, exchange).Run(); });
+  EXPECT_EQ(exchange.response[kVerdictHeader], "not-run");
+  return exchange.response.body();
+}
+
+TEST(ForwardedRequest, IsRefusedIfItIsLateAndTheEndOfTheStopCouldCutIt) {
+  const milliseconds grace(10000);
+  const milliseconds late(4000);
+  EXPECT_EQ(RefusalWhileStopping(grace, late, milliseconds(5000)),
+            "stopping\n");
+  EXPECT_EQ(RefusalWhileStopping(grace, late, milliseconds(4500)), "no-room\n");
+  EXPECT_EQ(RefusalWhileStopping(grace, milliseconds(2000), milliseconds(9000)),
+            "no-room\n");
+}
+
 TEST(RequestMetrics, AggregatesServersBeyondTheLimit) {
   RequestMetrics metrics;
   for (int i = 0; i < 1003; ++i) {
