Move StopSchedule from router to core

The gateway of the two-hop way will bound its requests by it, too. No change of behaviour: the files are renamed, and the includes and sources follow.

--- a/src/router/stop_schedule.cc
+++ b/src/core/stop_schedule.cc
@@ -1,4 +1,4 @@
-#include "router/stop_schedule.h"
+#include "core/stop_schedule.h"
 
 namespace currantbeam {
 namespace {
--- a/src/router/stop_schedule.h
+++ b/src/core/stop_schedule.h
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-#include "core/core.h"
+#include "core/clock.h"
 
 namespace currantbeam {
 
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -4,6 +4,7 @@
 #include <unordered_map>
 
 #include "backends/backends.h"
+#include "core/stop_schedule.h"
 #include "http/http.h"
 #include "keys/load_report.h"
 #include "policy/policy.h"
@@ -14,7 +15,6 @@
 #include "router/owner_directory.h"
 #include "router/request_metrics.h"
 #include "router/route_table.h"
-#include "router/stop_schedule.h"
 #include "router/suspect_trials.h"
 
 namespace currantbeam {
