--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -4,6 +4,7 @@
 #include "core/events.h"
 #include "gateway/backend_dispatcher.h"
 #include "gateway/gateway_control.h"
+#include "gateway/gateway_shutdown.h"
 #include "gateway/gateway_state.h"
 #include "gateway/request_handlers.h"
 #include "program/program.h"
@@ -38,6 +39,7 @@
         status_server(ServerOptions(settings, settings.status_port),
                       this->status_handler),
         workers(settings.workers),
+        shutdown(this->state, this->client_server, this->forwarding_server),
         stop_signal(this->control_loop, [this] { this->Drain(); }) {}
 
   auto Run() -> void {
@@ -58,22 +60,7 @@
 
  private:
   auto Drain() -> void {
-    const auto timeout = this->state.Settings().drain_timeout;
-    Log(events::kProcessDraining, {{"limit_ms", timeout.count()}});
-    this->state.SetDraining();
-    this->client_server.StopAccepting();
-    auto outstanding = this->client_server.Drain(timeout);
-    // Other gateways forward requests here until a placer has assigned the
-    // servers to them, so this port stays open during the handover.
-    for (int i = 0; i < kMaxHandoverPolls && this->HasServers(); ++i) {
-      SleepFor(kHandoverPollInterval);
-    }
-    SleepFor(kHandoverPollInterval);
-    this->forwarding_server.StopAccepting();
-    outstanding += this->forwarding_server.Drain(timeout);
-    if (outstanding != 0) {
-      Log(events::kDrainCutShort, {{"in_hand", outstanding}});
-    }
+    this->shutdown.Run();
     this->stopped = true;
     this->control.Stop();
     this->control_loop.Stop();
@@ -86,15 +73,6 @@
     }
   }
 
-  auto HasServers() -> bool {
-    return this->state.WithAgent([](GatewayAgent& agent) {
-      return !agent.DrivenServers().Reports().empty();
-    });
-  }
-
-  static constexpr auto kHandoverPollInterval = std::chrono::milliseconds(20);
-  static constexpr int kMaxHandoverPolls = 100;
-
   std::atomic<bool> stopped{false};
   SteadyClock clock;
   FiberLoop control_loop;
@@ -109,6 +87,7 @@
   HttpServer forwarding_server;
   HttpServer status_server;
   WorkerPool workers;
+  GatewayShutdown shutdown;
   StopSignal stop_signal;
 };
 
