Bound requests of a gateway in flight by its planned stop

What callers saw: a request in flight at currantbeam-gateway whose own deadline lies after the end of its stop got a closed connection without a response, on both ports. The stop took up to drain_limit_ms for each port, plus 2 s.

Cause: the stop had a limit that the requests in it did not know. They kept their deadlines while they waited for a slot, for a driver, for a server and for another gateway, and the end of the workers cut them.

Change: GatewayState::BeginStop() fixes a StopSchedule that covers both ports. Waits for slots, calls, forwards, retries and reroutes are bounded by its servers_until; waiters are woken to compute their deadlines again. At respond_at the calls of requests without a response are cancelled on each worker; those that may have run get 502, all others had 503 by then. A request that cannot be expected to end by servers_until is refused by its queue at once. A retry is not begun when no time is left for it.

--- a/src/gateway/backend_dispatcher.cc
+++ b/src/gateway/backend_dispatcher.cc
@@ -27,6 +27,10 @@
 /// A fiber that waits for a slot of a server.
 struct BackendDispatcher::Waiter {
   explicit Waiter(FiberLoop& loop) : loop(loop), timer(loop.Io()) {}
+  /// Ends the wait of the timer, on the waiter's loop.
+  static auto Wake(const std::shared_ptr<Waiter>& waiter) -> void {
+    boost::asio::post(waiter->loop.Io(), [waiter] { waiter->timer.cancel(); });
+  }
   FiberLoop& loop;
   boost::asio::steady_timer timer;
   std::atomic<bool> started{false};
@@ -93,7 +97,33 @@
     const auto waiter = found->second;
     server.waiters.erase(found);
     waiter->started = true;
-    boost::asio::post(waiter->loop.Io(), [waiter] { waiter->timer.cancel(); });
+    Waiter::Wake(waiter);
+  }
+}
+
+auto BackendDispatcher::ServerStates()
+    -> std::vector<std::shared_ptr<ServerState>> {
+  std::vector<std::shared_ptr<ServerState>> states;
+  const std::lock_guard lock(this->mutex);
+  for (const auto& [id, server] : this->servers) states.push_back(server);
+  return states;
+}
+
+auto BackendDispatcher::UpdateDeadlines() -> void {
+  for (const auto& server : this->ServerStates()) {
+    const std::lock_guard lock(server->mutex);
+    for (const auto& [id, waiter] : server->waiters) Waiter::Wake(waiter);
+  }
+}
+
+auto BackendDispatcher::AwaitStart(const RequestJob& job, Waiter& waiter)
+    -> void {
+  while (!waiter.started) {
+    const auto time_left =
+        this->state.ServerDeadline(job.deadline) - this->state.GetClock().Now();
+    if (time_left <= Duration(0)) return;
+    waiter.timer.expires_after(time_left);
+    Await([&](auto handler) { waiter.timer.async_wait(handler); });
   }
 }
 
@@ -104,7 +134,7 @@
   item.class_name = job.request_class.name;
   item.neighbour = job.neighbour;
   item.enqueued = this->state.GetClock().Now();
-  item.deadline = job.deadline;
+  item.deadline = this->state.ServerDeadline(job.deadline);
   item.expected = server.times.Estimate(job.request_class.name, job.hash);
   item.is_long = server.times.IsLong(job.request_class.name, job.hash);
   const auto view = this->state.CurrentView();
@@ -138,10 +168,7 @@
     }
     this->StartQueuedRequests(*server);
   }
-  if (!waiter->started) {
-    waiter->timer.expires_after(job.deadline - now);
-    Await([&](auto handler) { waiter->timer.async_wait(handler); });
-  }
+  this->AwaitStart(job, *waiter);
   job.queue_time = this->state.GetClock().Now() - now;
   {
     const std::lock_guard lock(server->mutex);
@@ -156,7 +183,8 @@
     const std::lock_guard lock(this->policy_mutex);
     this->controller.OnStarted(job.request_class.name, job.queue_time);
   }
-  if (this->state.GetClock().Now() >= job.deadline) {
+  const auto start_until = this->state.ServerDeadline(job.deadline);
+  if (this->state.GetClock().Now() >= start_until) {
     throw OverloadError("deadline passed in the queue", Duration(0));
   }
   return permit;
@@ -203,7 +231,8 @@
   request.request = job.request;
   request.slot = slot;
   const auto& clock = this->state.GetClock();
-  request.deadline = TimeLeft(job.deadline, clock.Now());
+  request.deadline =
+      TimeLeft(this->state.ServerDeadline(job.deadline), clock.Now());
   TimePoint sent_at;
   request.authorize = [&]() -> std::optional<FencingToken> {
     return this->state.WithAgent([&](GatewayAgent& agent) {
@@ -216,7 +245,8 @@
       return token;
     });
   };
-  request.is_server_lost = [this, id] {
+  request.should_cancel = [this, id, &exchange] {
+    if (this->state.MustRespond() && !exchange.HasStarted()) return true;
     return this->state.WithAgent([&](GatewayAgent& agent) {
       return agent.DrivenServers().HasLapsed(id);
     });
@@ -371,12 +401,7 @@
 }
 
 auto BackendDispatcher::FillReport(Report& report) -> void {
-  std::vector<std::shared_ptr<ServerState>> states;
-  {
-    const std::lock_guard lock(this->mutex);
-    for (const auto& [id, server] : this->servers) states.push_back(server);
-  }
-  for (const auto& server : states) {
+  for (const auto& server : this->ServerStates()) {
     const std::lock_guard lock(server->mutex);
     for (const auto& [slot, busy] : server->slot_busy_us) {
       report.loads.push_back({server->server.service, slot, busy});
--- a/src/gateway/backend_dispatcher.h
+++ b/src/gateway/backend_dispatcher.h
@@ -33,6 +33,9 @@
   auto TryRetry() -> bool;
   /// Sets the targets of the request classes from a new configuration.
   auto SetConfiguration(const Configuration& configuration) -> void;
+  /// Makes requests that wait for a slot compute their deadlines again. Call it
+  /// after GatewayState::BeginStop().
+  auto UpdateDeadlines() -> void;
   /// Adjusts the weights of the request classes. Call it periodically, every
   /// ClassController::kInterval.
   auto AdjustWeights() -> void;
@@ -55,6 +58,9 @@
   /// passes first.
   auto WaitForSlot(RequestJob& job, const std::shared_ptr<ServerState>& server)
       -> std::unique_ptr<Permit>;
+  /// Blocks the fiber until the waiter's request is started or its deadline has
+  /// passed.
+  auto AwaitStart(const RequestJob& job, Waiter& waiter) -> void;
   auto MakeWorkItem(const RequestJob& job, ServerState& server) -> WorkItem;
   auto SendAndRelay(RequestJob& job, HttpExchange& exchange,
                     ServerState& server, SlotIndex slot) -> void;
@@ -71,6 +77,8 @@
   /// Accounts for the time that a request kept a slot busy.
   auto RecordUsage(const RequestJob& job, ServerState& server, SlotIndex slot,
                    Duration busy) -> void;
+  /// @return all known servers.
+  auto ServerStates() -> std::vector<std::shared_ptr<ServerState>>;
   /// Wakes the fibers whose requests may start now. Call with the server's
   /// mutex locked.
   auto StartQueuedRequests(ServerState& server) -> void;
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -47,7 +47,8 @@
          target->gateway != gateway;
 }
 
-auto MakeForwardedRequest(const RequestJob& job, TimePoint now) -> HttpRequest {
+auto MakeForwardedRequest(const RequestJob& job, Duration time_left)
+    -> HttpRequest {
   HttpRequest forwarded = *job.request;
   forwarded.version(11);
   forwarded.keep_alive(true);
@@ -55,7 +56,7 @@
   forwarded.set(kClassHeader, job.request_class.name.Value());
   forwarded.set(kNeighbourHeader, job.neighbour.Value());
   forwarded.set(kHashHeader, std::to_string(job.hash));
-  forwarded.set(kDeadlineHeader, std::to_string((job.deadline - now).count()));
+  forwarded.set(kDeadlineHeader, std::to_string(time_left.count()));
   if (!job.idempotency_key.empty()) {
     forwarded.set(kIdempotencyHeader, job.idempotency_key);
   }
@@ -70,8 +71,8 @@
   const auto& clock = state.GetClock();
   const auto endpoint = target.hop;
   auto& pool = ConnectionPool::Current();
-  const auto now = clock.Now();
-  const auto time_left = TimeLeft(job.deadline, now);
+  const auto time_left =
+      TimeLeft(state.ServerDeadline(job.deadline), clock.Now());
   std::unique_ptr<HttpConnection> connection;
   try {
     connection = pool.Acquire(endpoint.address, endpoint.port,
@@ -84,10 +85,11 @@
   constexpr auto kDeadlineMargin = std::chrono::milliseconds(100);
   auto watch = std::make_unique<CancelOnPeerLoss>(
       *connection,
-      [&state, server = target.server.id, gateway = target.gateway] {
-        return IsGatewayLost(state, server, gateway);
+      [&state, &exchange, server = target.server.id, gateway = target.gateway] {
+        if (IsGatewayLost(state, server, gateway)) return true;
+        return state.MustRespond() && !exchange.HasStarted();
       });
-  const auto head = connection->Exchange(MakeForwardedRequest(job, now),
+  const auto head = connection->Exchange(MakeForwardedRequest(job, time_left),
                                          time_left + kDeadlineMargin);
   if (head.find(response_headers::kReroute) != head.end()) {
     const std::string reason(head[response_headers::kReroute]);
--- a/src/gateway/gateway_shutdown.cc
+++ b/src/gateway/gateway_shutdown.cc
@@ -1,25 +1,53 @@
 #include "gateway/gateway_shutdown.h"
 
+#include <algorithm>
+
 #include "core/events.h"
 
 namespace currantbeam {
 
 auto GatewayShutdown::Run() -> void {
-  const auto timeout = this->state.Settings().drain_timeout;
-  Log(events::kProcessDraining, {{"limit_ms", timeout.count()}});
-  this->state.SetDraining();
+  const auto limit = this->state.Settings().drain_timeout;
+  Log(events::kProcessDraining, {{"limit_ms", limit.count()}});
+  this->state.BeginStop();
+  this->dispatcher.UpdateDeadlines();
+  const auto stop = this->state.Stop();
   this->client_server.StopAccepting();
-  auto outstanding = this->client_server.Drain(timeout);
+  this->DrainUntil(this->client_server, stop.respond_at);
+  this->AwaitHandover(stop.respond_at);
+  this->forwarding_server.StopAccepting();
+  this->DrainUntil(this->forwarding_server, stop.respond_at);
+  if (this->InFlight() != 0) this->CancelCalls();
+  this->DrainUntil(this->client_server, stop.end);
+  this->DrainUntil(this->forwarding_server, stop.end);
+  if (this->InFlight() != 0) {
+    Log(events::kDrainCutShort, {{"in_hand", this->InFlight()}});
+  }
+}
+
+auto GatewayShutdown::AwaitHandover(TimePoint until) -> void {
   // Other gateways forward requests here until a placer has assigned the
-  // servers to them, so this port stays open during the handover.
-  for (int i = 0; i < kMaxHandoverPolls && this->HasServers(); ++i) {
+  // servers to them, so the forwarding port stays open meanwhile.
+  const auto& clock = this->state.GetClock();
+  const auto end = std::min(until, clock.Now() + kMaxHandoverTime);
+  while (this->HasServers() && clock.Now() < end) {
     SleepFor(kHandoverPollInterval);
   }
   SleepFor(kHandoverPollInterval);
-  this->forwarding_server.StopAccepting();
-  outstanding += this->forwarding_server.Drain(timeout);
-  if (outstanding != 0) {
-    Log(events::kDrainCutShort, {{"in_hand", outstanding}});
+}
+
+auto GatewayShutdown::DrainUntil(HttpServer& server, TimePoint time) -> void {
+  server.Drain(std::chrono::duration_cast<std::chrono::milliseconds>(
+      time - this->state.GetClock().Now()));
+}
+
+auto GatewayShutdown::InFlight() const -> std::size_t {
+  return this->client_server.InFlight() + this->forwarding_server.InFlight();
+}
+
+auto GatewayShutdown::CancelCalls() -> void {
+  for (std::size_t i = 0; i < this->workers.Size(); ++i) {
+    this->workers.Loop(i).Spawn([] { CancelOnPeerLoss::CheckAll(); });
   }
 }
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -1,5 +1,6 @@
 #include "gateway/gateway_state.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -31,6 +32,23 @@
   this->view = std::move(view);
 }
 
+auto GatewayState::BeginStop() -> void {
+  this->stop = StopSchedule(this->clock.Now(), this->settings.drain_timeout);
+  this->draining = true;
+}
+
+auto GatewayState::Stop() const -> StopSchedule {
+  return this->draining ? this->stop : StopSchedule();
+}
+
+auto GatewayState::ServerDeadline(TimePoint deadline) const -> TimePoint {
+  return std::min(deadline, this->Stop().servers_until);
+}
+
+auto GatewayState::MustRespond() const -> bool {
+  return this->clock.Now() >= this->Stop().respond_at;
+}
+
 auto GatewayState::MayServe() -> bool {
   if (this->draining) return false;
   return this->WithAgent(
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 
 #include "config/config.h"
 #include "core/core.h"
+#include "core/stop_schedule.h"
 #include "gateway/metrics.h"
 #include "ownership/ownership.h"
 #include "routing/routing.h"
@@ -47,13 +48,26 @@
   }
   [[nodiscard]] auto GetClock() const -> const Clock& { return this->clock; }
   auto GetMetrics() -> Metrics& { return this->metrics; }
-  auto SetDraining() -> void { this->draining = true; }
+  /// Fixes the schedule of the stop, which bounds all requests in flight. Call
+  /// it once.
+  auto BeginStop() -> void;
+  /// @return the schedule of the stop; all times are TimePoint::max() before
+  ///   BeginStop().
+  [[nodiscard]] auto Stop() const -> StopSchedule;
+  /// @return when a server or another gateway must have responded to a request
+  ///   with this deadline.
+  [[nodiscard]] auto ServerDeadline(TimePoint deadline) const -> TimePoint;
+  /// @return whether requests without a response have to get one now because
+  ///   the process stops.
+  [[nodiscard]] auto MustRespond() const -> bool;
   [[nodiscard]] auto IsDraining() const -> bool { return this->draining; }
 
  private:
   GatewaySettings settings;
   const Clock& clock;
   Metrics metrics;
+  /// Written once, before `draining` is set.
+  StopSchedule stop;
   std::atomic<bool> draining{false};
   std::mutex agent_mutex;
   GatewayAgent agent;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -39,7 +39,8 @@
         status_server(ServerOptions(settings, settings.status_port),
                       this->status_handler),
         workers(settings.workers),
-        shutdown(this->state, this->client_server, this->forwarding_server),
+        shutdown(this->state, this->dispatcher, this->client_server,
+                 this->forwarding_server, this->workers),
         stop_signal(this->control_loop, [this] { this->Drain(); }) {}
 
   auto Run() -> void {
--- a/src/gateway/request_handlers.cc
+++ b/src/gateway/request_handlers.cc
@@ -103,9 +103,15 @@
          job.request_class.idempotent;
 }
 
+auto ClientRequestHandler::HasTimeToRetry(const RequestJob& job,
+                                          const RoutingState& routing) const
+    -> bool {
+  return this->state.GetClock().Now() + routing.backoff <
+         this->state.ServerDeadline(job.deadline);
+}
+
 auto ClientRequestHandler::RouteRequest(RequestJob& job, HttpExchange& exchange)
     -> void {
-  const auto& clock = this->state.GetClock();
   RoutingState routing;
   while (true) {
     try {
@@ -123,9 +129,9 @@
         exchange.Abort();
         return;
       }
-      const bool will_retry = this->IsRetryable(job, error) &&
-                              routing.retries < kMaxRetries &&
-                              this->dispatcher.TryRetry();
+      const bool will_retry =
+          this->IsRetryable(job, error) && routing.retries < kMaxRetries &&
+          this->HasTimeToRetry(job, routing) && this->dispatcher.TryRetry();
       if (!will_retry) {
         this->RecordOutcome(job, routing, "failed", error.what());
         SendErrorResponse(exchange, http::status::bad_gateway,
@@ -140,7 +146,7 @@
       routing.last_error = error.what();
     }
     ++routing.reroutes;
-    if (clock.Now() + routing.backoff >= job.deadline) {
+    if (!this->HasTimeToRetry(job, routing)) {
       this->RecordOutcome(job, routing, "refused", routing.last_error);
       const bool may_have_run = routing.retries != 0;
       SendErrorResponse(exchange, http::status::service_unavailable,
--- a/src/gateway/request_handlers.h
+++ b/src/gateway/request_handlers.h
@@ -34,6 +34,9 @@
   /// @throws RerouteError, OverloadError or RequestError.
   auto TryRoute(RequestJob& job, HttpExchange& exchange, RoutingState& routing)
       -> bool;
+  /// @return whether there is time to send the request again.
+  auto HasTimeToRetry(const RequestJob& job, const RoutingState& routing) const
+      -> bool;
   /// @return true if the request is idempotent and may have been run.
   auto IsRetryable(const RequestJob& job, const RequestError& error) -> bool;
   /// Adds the request to the metrics and logs its outcome.
--- a/src/http/cancel_on_peer_loss.cc
+++ b/src/http/cancel_on_peer_loss.cc
@@ -13,16 +13,16 @@
 }  // namespace
 
 CancelOnPeerLoss::CancelOnPeerLoss(HttpConnection& connection,
-                                   std::function<bool()> is_lost)
+                                   std::function<bool()> should_cancel)
     : connection(connection),
-      is_lost(std::move(is_lost)),
+      should_cancel(std::move(should_cancel)),
       position(ActiveWatches().insert(ActiveWatches().end(), this)) {}
 
 CancelOnPeerLoss::~CancelOnPeerLoss() { ActiveWatches().erase(this->position); }
 
 auto CancelOnPeerLoss::CheckAll() -> void {
   for (auto* guard : ActiveWatches()) {
-    if (guard->is_lost()) guard->connection.Cancel();
+    if (guard->should_cancel()) guard->connection.Cancel();
   }
 }
 
--- a/src/http/cancel_on_peer_loss.h
+++ b/src/http/cancel_on_peer_loss.h
@@ -8,26 +8,28 @@
 namespace currantbeam {
 
 /// Cancels the outstanding request on a connection once its peer is known to be
-/// lost, instead of waiting for the request's timeout. Active while the object
-/// exists; `is_lost` is evaluated at each CheckAll() of the same thread.
+/// lost or the process has no more time for it, instead of waiting for the
+/// request's timeout. Active while the object exists; `should_cancel` is
+/// evaluated at each CheckAll() of the same thread.
 class CancelOnPeerLoss {
  public:
-  /// @param is_lost  returns whether the peer is lost; called on the thread of
-  ///   the constructor.
-  CancelOnPeerLoss(HttpConnection& connection, std::function<bool()> is_lost);
+  /// @param should_cancel  returns whether to cancel the request; called on the
+  ///   thread of the constructor.
+  CancelOnPeerLoss(HttpConnection& connection,
+                   std::function<bool()> should_cancel);
   ~CancelOnPeerLoss();
   CancelOnPeerLoss(const CancelOnPeerLoss&) = delete;
   auto operator=(const CancelOnPeerLoss&) -> CancelOnPeerLoss& = delete;
 
-  /// Evaluates all objects of the calling thread and cancels the requests whose
-  /// peer is lost. Each loop has to call this every kCheckInterval.
+  /// Evaluates all objects of the calling thread and cancels their requests
+  /// where due. Each loop has to call this every kCheckInterval.
   static auto CheckAll() -> void;
 
   static constexpr auto kCheckInterval = std::chrono::milliseconds(20);
 
  private:
   HttpConnection& connection;
-  std::function<bool()> is_lost;
+  std::function<bool()> should_cancel;
   std::list<CancelOnPeerLoss*>::iterator position;
 };
 
--- a/src/servers/backend_client.h
+++ b/src/servers/backend_client.h
@@ -42,7 +42,7 @@
   std::function<std::optional<FencingToken>()> authorize;
   /// Called periodically while the request is outstanding; the request is
   /// cancelled if it returns true.
-  std::function<bool()> is_server_lost;
+  std::function<bool()> should_cancel;
 };
 
 /// Sends grants and requests to backend servers. Call from a fiber, which the
--- a/src/servers/http_backend_client.cc
+++ b/src/servers/http_backend_client.cc
@@ -165,7 +165,7 @@
   }
   const auto outgoing = MakeBackendRequest(server, request, *token);
   auto watch =
-      std::make_unique<CancelOnPeerLoss>(*connection, request.is_server_lost);
+      std::make_unique<CancelOnPeerLoss>(*connection, request.should_cancel);
   const auto head = connection->Exchange(outgoing, request.deadline);
   return std::make_unique<HttpBackendCall>(server, std::move(connection),
                                            std::move(watch), head);
--- a/tests/servers/request_path.h
+++ b/tests/servers/request_path.h
@@ -17,6 +17,8 @@
 
 inline const std::uint16_t kServerPort = TestPort(0);
 inline const std::uint16_t kClientPort = TestPort(1);
+inline const std::uint16_t kForwardingPort = TestPort(2);
+inline const std::uint16_t kOtherGatewayPort = TestPort(3);
 constexpr auto kTimeout = std::chrono::milliseconds(5000);
 
 inline const char* const kConfiguration = R"(deployment = "d"
@@ -37,6 +39,17 @@
 service = "s"
 method = "POST"
 deadline_ms = 1500
+[[class]]
+name = "long-read"
+service = "s"
+method = "DELETE"
+idempotent = true
+deadline_ms = 60000
+[[class]]
+name = "long-order"
+service = "s"
+method = "PUT"
+deadline_ms = 60000
 )";
 
 /// One gateway and one stand-in server in this process. The test passes
@@ -50,6 +63,7 @@
     this->timing.grant_duration = std::chrono::seconds(60);
     this->settings.host = HostId("h");
     this->settings.domain = FailureDomain("x");
+    this->settings.drain_timeout = std::chrono::seconds(2);
     this->state = std::make_unique<GatewayState>(this->settings, this->timing,
                                                  this->clock);
     this->dispatcher =
@@ -97,9 +111,9 @@
     backend.endpoint = {"127.0.0.1", kServerPort};
     backend.slots = 4;
     nlohmann::json row = backend;
-    row["gateway"] = this->settings.host;
+    row["gateway"] = this->driver;
     row["lost_gateway"] = "";
-    row["hop"] = Endpoint{"127.0.0.1", 1};
+    row["hop"] = Endpoint{"127.0.0.1", kOtherGatewayPort};
     Segment segment{backend.service, backend.domain, {}, {}};
     for (SlotIndex slot = 0; slot < 4; ++slot) {
       segment.slots[slot] = {backend.id, 1, {}, false};
@@ -189,6 +203,7 @@
   SteadyClock clock;
   LeaseTiming timing;
   GatewaySettings settings;
+  HostId driver{"h"};  ///< The gateway that drives the server.
   HttpBackendClient client;
   ServerBehaviour behaviour;
   std::uint64_t incarnation = 0;
