--- a/src/core/core.h
+++ b/src/core/core.h
@@ -9,6 +9,7 @@
 #include "core/id.h"
 #include "core/lease_timing.h"
 #include "core/log_event.h"
+#include "core/stop_schedule.h"
 #include "core/table.h"
 #include "core/term.h"
 #include "core/verdict.h"
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -7,7 +7,6 @@
 
 #include "config/config.h"
 #include "core/core.h"
-#include "core/stop_schedule.h"
 #include "gateway/metrics.h"
 #include "ownership/ownership.h"
 #include "routing/routing.h"
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -4,7 +4,6 @@
 #include <unordered_map>
 
 #include "backends/backends.h"
-#include "core/stop_schedule.h"
 #include "http/http.h"
 #include "keys/load_report.h"
 #include "policy/policy.h"
--- a/tests/router/stop_schedule_test.cc
+++ b/tests/core/stop_schedule_test.cc
@@ -1,4 +1,4 @@
-#include "router/stop_schedule.h"
+#include "core/core.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
