Wait for a trial's permit no longer than its request may take

A suspect request whose coordinator does not respond waited 400 ms for its permit, also where its deadline or the end of a stop was nearer. At the end of a stop with a grace of 6 s, 180 ms are left after the last wait, so the process could end before it had answered. Granted late, the permit let the request be sent to a server with 1 ms left.

Cause: PeerExchange::Acquire knew how long the request may take, but used the timeout of all requests to other hosts.

Change: the shorter of both bounds the wait. If less than 20 ms is left then, there is no permit, also none by this host itself, and the request is refused as not run.

--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -17,6 +17,8 @@
 constexpr auto kContactTimeout = std::chrono::milliseconds(1500);
 constexpr auto kCoordinatorPollInterval = std::chrono::milliseconds(10);
 constexpr auto kReadPollInterval = std::chrono::milliseconds(20);
+/// No trial is started with less time than this left for its request.
+constexpr auto kMinTrialTime = std::chrono::milliseconds(20);
 constexpr const char* kReportPath = "/loads";
 constexpr const char* kUpdatePath = "/owners";
 constexpr const char* kOwnersPath = "/owners-since";
@@ -39,12 +41,11 @@
   return options;
 }
 
-auto Post(const Endpoint& endpoint, const char* path, std::string body)
-    -> HttpResponse {
+auto Post(const Endpoint& endpoint, const char* path, std::string body,
+          std::chrono::milliseconds timeout = kRequestTimeout) -> HttpResponse {
   HttpRequest request{http::verb::post, path, 11};
   request.body() = std::move(body);
-  return Fetch(endpoint.address, endpoint.port, std::move(request),
-               kRequestTimeout);
+  return Fetch(endpoint.address, endpoint.port, std::move(request), timeout);
 }
 
 }  // namespace
@@ -231,9 +232,12 @@
 auto PeerExchange::Acquire(RequestFingerprint request, Duration length)
     -> bool {
   if (!this->coordinator->IsActive()) {
+    const auto deadline = this->clock.Now() + length;
     const auto granted = this->SendTrial(
-        {request, false, length, this->quarantine.State(this->clock.Now())});
+        {request, false, length, this->quarantine.State(this->clock.Now())},
+        std::chrono::ceil<std::chrono::milliseconds>(length));
     if (granted) return *granted;
+    if (deadline - this->clock.Now() < kMinTrialTime) return false;
   }
   return this->permits.Acquire(request, length, this->clock.Now());
 }
@@ -243,16 +247,19 @@
   if (this->coordinator->IsActive()) return;
   TrialMessage message{request, true, Duration(0),
                        this->quarantine.State(this->clock.Now())};
-  FiberLoop::Current().Spawn(
-      [this, message = std::move(message)] { this->SendTrial(message); });
+  FiberLoop::Current().Spawn([this, message = std::move(message)] {
+    this->SendTrial(message, kRequestTimeout);
+  });
 }
 
-auto PeerExchange::SendTrial(const TrialMessage& message)
+auto PeerExchange::SendTrial(const TrialMessage& message,
+                             std::chrono::milliseconds timeout)
     -> std::optional<bool> {
   const auto endpoint = ReportEndpoint(*this->coordinator);
   if (!this->IsInContact() || !endpoint) return std::nullopt;
   try {
-    const auto response = Post(*endpoint, kTrialPath, message.Encode());
+    const auto response = Post(*endpoint, kTrialPath, message.Encode(),
+                               std::min(timeout, kRequestTimeout));
     const bool is_granted = response.result() == http::status::ok;
     if (!is_granted && response.result() != http::status::conflict) {
       return std::nullopt;
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -73,9 +73,12 @@
   /// Grants or takes back a permit for another host; 503 unless the
   /// coordinator is active.
   auto HandleTrial(HttpExchange& exchange) -> void;
+  /// @param timeout  for the response, at most the timeout of all requests to
+  ///   other hosts.
   /// @return whether the coordinator granted or refused the permit, or took it
   ///   back; nothing if it did not respond.
-  auto SendTrial(const TrialMessage& message) -> std::optional<bool>;
+  auto SendTrial(const TrialMessage& message, std::chrono::milliseconds timeout)
+      -> std::optional<bool>;
   /// @return whether the coordinator accepted a report recently.
   [[nodiscard]] auto IsInContact() const -> bool;
   [[nodiscard]] auto HasReportedRecently(const Peer& peer) const -> bool;
--- a/src/router/suspect_trials.h
+++ b/src/router/suspect_trials.h
@@ -9,6 +9,7 @@
 class SuspectTrials {
  public:
   virtual ~SuspectTrials() = default;
+  /// Waits for the permit no longer than `length`.
   /// @param length  how long the request may take at most.
   /// @return whether it may be sent now.
   virtual auto Acquire(RequestFingerprint request, Duration length) -> bool = 0;
