Reject unread requests of servers that listen on several loops

What callers saw: a request that the gateway had not received whole at the end of its stop got a closed connection without a response, on both ports.

Cause: HttpServer::RejectUnreadRequests() could be called on servers with a single loop only, so the gateway, whose ports listen on all workers, didn't.

Change: the server records the connections that receive a request by their loop and cancels their reads on it; GatewayShutdown calls it at respond_at.

--- a/src/gateway/gateway_shutdown.cc
+++ b/src/gateway/gateway_shutdown.cc
@@ -17,7 +17,11 @@
   this->AwaitHandover(stop.respond_at);
   this->forwarding_server.StopAccepting();
   this->DrainUntil(this->forwarding_server, stop.respond_at);
-  if (this->InFlight() != 0) this->CancelCalls();
+  if (this->InFlight() != 0) {
+    this->client_server.RejectUnreadRequests();
+    this->forwarding_server.RejectUnreadRequests();
+    this->CancelCalls();
+  }
   this->DrainUntil(this->client_server, stop.end);
   this->DrainUntil(this->forwarding_server, stop.end);
   if (this->InFlight() != 0) {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -38,6 +38,7 @@
     {
       const std::lock_guard lock(this->mutex);
       this->acceptors.emplace_back(&loop, acceptor);
+      this->loops.push_back(&loop);
     }
     loop.Spawn([this, acceptor] { this->AcceptLoop(acceptor); });
   } catch (const boost::system::system_error& error) {
@@ -87,17 +88,27 @@
 
 auto HttpServer::SetReading(Connection* connection, bool is_reading) -> void {
   const std::lock_guard lock(this->mutex);
+  auto& connections = this->reading_connections[&FiberLoop::Current()];
   if (is_reading) {
-    this->reading_connections.insert(connection);
+    connections.insert(connection);
   } else {
-    this->reading_connections.erase(connection);
+    connections.erase(connection);
   }
 }
 
 auto HttpServer::RejectUnreadRequests() -> void {
   this->rejecting_unread = true;
   const std::lock_guard lock(this->mutex);
-  for (auto* connection : this->reading_connections) connection->CancelRead();
+  for (auto* loop : this->loops) {
+    asio::post(loop->Io(), [this] { this->CancelReads(); });
+  }
+}
+
+auto HttpServer::CancelReads() -> void {
+  const std::lock_guard lock(this->mutex);
+  for (auto* connection : this->reading_connections[&FiberLoop::Current()]) {
+    connection->CancelRead();
+  }
 }
 
 auto HttpServer::Serve(TcpSocket socket) -> void {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -45,8 +46,8 @@
   /// listening loop; only for servers that listen on a single loop.
   auto CloseIdleConnections() -> void;
   /// Responds with 503 to the requests that have not been received whole, from
-  /// now on without waiting for the rest. Call on the listening loop; only for
-  /// servers that listen on a single loop.
+  /// now on without waiting for the rest. Takes effect on each listening loop
+  /// when that has run its pending handlers. May be called from any thread.
   auto RejectUnreadRequests() -> void;
   /// Waits until no request is in flight.
   /// @return the number of requests still in flight after the timeout.
@@ -62,6 +63,8 @@
   auto Serve(TcpSocket socket) -> void;
   auto SetIdle(Connection* connection, bool is_idle) -> void;
   auto SetReading(Connection* connection, bool is_reading) -> void;
+  /// Cancels the reads of incomplete requests on the calling loop.
+  auto CancelReads() -> void;
 
   Options options;
   HttpHandler& handler;
@@ -73,8 +76,9 @@
   /// Guards the members below. No other lock is acquired while it is held.
   std::mutex mutex;
   std::set<Connection*> idle_connections;
-  /// Connections that are receiving a request.
-  std::set<Connection*> reading_connections;
+  /// Connections that are receiving a request, by the loop that serves them.
+  std::map<FiberLoop*, std::set<Connection*>> reading_connections;
+  std::vector<FiberLoop*> loops;  ///< All that the server listens on.
   std::vector<std::pair<FiberLoop*, std::shared_ptr<Acceptor>>> acceptors;
 };
 
--- a/tests/servers/gateway_shutdown_test.cc
+++ b/tests/servers/gateway_shutdown_test.cc
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -15,6 +18,7 @@
 namespace {
 
 constexpr auto kPollInterval = std::chrono::milliseconds(5);
+constexpr int kIncompleteRequests = 8;
 constexpr int kMaxPolls = 5000;
 constexpr auto kClientTimeout = std::chrono::seconds(20);
 constexpr const char* kWorkUs = "60000000";
@@ -114,6 +118,31 @@
     return pending;
   }
 
+  /// Sends the beginning of a request, and waits for the end of the response.
+  auto StartIncomplete(std::uint16_t port) -> std::shared_ptr<PendingRequest> {
+    auto pending = std::make_shared<PendingRequest>();
+    this->requests.push_back(pending);
+    FiberLoop::Current().Spawn([pending, port] {
+      TcpSocket socket(FiberLoop::Current().Io().get_executor());
+      const boost::asio::ip::tcp::endpoint endpoint(
+          boost::asio::ip::address_v4::loopback(), port);
+      Await([&](auto handler) { socket.async_connect(endpoint, handler); });
+      const std::string text =
+          "PUT /s/k HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n12";
+      Await([&](auto handler) {
+        boost::asio::async_write(socket, boost::asio::buffer(text), handler);
+      });
+      boost::beast::flat_buffer buffer;
+      HttpResponse response;
+      const auto result = Await([&](auto handler) {
+        http::async_read(socket, buffer, response, handler);
+      });
+      if (!result.error) pending->response = response;
+      pending->is_done = true;
+    });
+    return pending;
+  }
+
   /// Sends a request that its server would work on for longer than the stop.
   auto StartLong(http::verb method, const std::string& id)
       -> std::shared_ptr<PendingRequest> {
@@ -225,5 +254,23 @@
   ExpectResponse(*forwarded, http::status::bad_gateway, "may-have-run");
 }
 
+TEST_F(GatewayStop, RejectsRequestsThatAreNotReceivedBeforeItsEnd) {
+  std::vector<std::shared_ptr<PendingRequest>> incomplete;
+  this->RunAndStop([&] {
+    // Several, so that each worker receives some of them.
+    for (int i = 0; i < kIncompleteRequests; ++i) {
+      incomplete.push_back(this->StartIncomplete(kClientPort));
+      incomplete.push_back(this->StartIncomplete(kForwardingPort));
+    }
+    WaitUntil([&] {
+      return this->client_server.InFlight() == kIncompleteRequests &&
+             this->forwarding_server.InFlight() == kIncompleteRequests;
+    });
+  });
+  for (const auto& pending : incomplete) {
+    ExpectResponse(*pending, http::status::service_unavailable, "not-run");
+  }
+}
+
 }  // namespace
 }  // namespace currantbeam
