Test that a stopping gateway refuses late requests at once

GatewayStop.RefusesLateRequestsThatTheirServerCannotEndInTime passes; with the queue's item given the request's own deadline again it failed: 502 'may-have-run' and one run at the server.

--- a/tests/servers/gateway_shutdown_test.cc
+++ b/tests/servers/gateway_shutdown_test.cc
@@ -272,5 +272,27 @@
   }
 }
 
+TEST_F(GatewayStop, RefusesLateRequestsThatTheirServerCannotEndInTime) {
+  std::shared_ptr<PendingRequest> late;
+  this->RunAndStop(
+      [&] {
+        auto usual = MakeForwardedRequest("usual");
+        usual.set("x-work-us", "1200000");
+        const auto answered = this->Start(usual, kForwardingPort);
+        WaitUntil([&] { return answered->is_done; });
+        this->StartLong(http::verb::put, "running");
+        WaitUntil([] { return RunCountOf("running") == 1; });
+        FiberLoop::Current().Spawn([&] {
+          WaitUntil([&] {
+            return this->clock.Now() > this->state->Stop().accept_until;
+          });
+          late = this->Start(MakeForwardedRequest("late"), kForwardingPort);
+        });
+      },
+      [] { EXPECT_EQ(RunCountOf("late"), 0); });
+  ASSERT_NE(late, nullptr);
+  ExpectResponse(*late, http::status::service_unavailable, "not-run");
+}
+
 }  // namespace
 }  // namespace currantbeam
