Report an attempt that may have run when a later one is refused

What callers saw: an idempotent request whose first attempt had run without an answer, and whose retry was then refused or not sent, ended with 503 and the verdict 'not-run', or with 503 and 'may-have-run'.

Cause: the refusal reported the last attempt only; the path for requests without a route set the verdict, but not the status.

Change: SendRefusal() responds with 504 and 'may-have-run' after an attempt that may have run, and records it as failed; else with 503 and 'not-run'.

--- a/src/gateway/request_handlers.cc
+++ b/src/gateway/request_handlers.cc
@@ -110,6 +110,23 @@
          this->state.ServerDeadline(job.deadline);
 }
 
+auto ClientRequestHandler::SendRefusal(const RequestJob& job,
+                                       const RoutingState& routing,
+                                       HttpExchange& exchange,
+                                       const std::string& reason,
+                                       Duration retry_after) -> void {
+  const bool may_have_run = routing.retries != 0;
+  if (may_have_run) {
+    this->RecordOutcome(job, routing, "failed", reason);
+    SendErrorResponse(exchange, http::status::gateway_timeout,
+                      Verdict::kMayHaveRun, reason);
+    return;
+  }
+  this->RecordOutcome(job, routing, "refused", reason);
+  SendErrorResponse(exchange, http::status::service_unavailable,
+                    Verdict::kNotRun, reason, retry_after);
+}
+
 auto ClientRequestHandler::RouteRequest(RequestJob& job, HttpExchange& exchange)
     -> void {
   RoutingState routing;
@@ -119,9 +136,8 @@
     } catch (const RerouteError& error) {
       routing.last_error = error.what();
     } catch (const OverloadError& error) {
-      this->RecordOutcome(job, routing, "refused", error.what());
-      SendErrorResponse(exchange, http::status::service_unavailable,
-                        Verdict::kNotRun, error.what(), error.RetryAfter());
+      this->SendRefusal(job, routing, exchange, error.what(),
+                        error.RetryAfter());
       return;
     } catch (const RequestError& error) {
       if (exchange.HasStarted()) {
@@ -147,11 +163,8 @@
     }
     ++routing.reroutes;
     if (!this->HasTimeToRetry(job, routing)) {
-      this->RecordOutcome(job, routing, "refused", routing.last_error);
-      const bool may_have_run = routing.retries != 0;
-      SendErrorResponse(exchange, http::status::service_unavailable,
-                        may_have_run ? Verdict::kMayHaveRun : Verdict::kNotRun,
-                        routing.last_error, std::chrono::seconds(1));
+      this->SendRefusal(job, routing, exchange, routing.last_error,
+                        std::chrono::seconds(1));
       return;
     }
     SleepFor(routing.backoff);
--- a/src/gateway/request_handlers.h
+++ b/src/gateway/request_handlers.h
@@ -39,6 +39,11 @@
       -> bool;
   /// @return true if the request is idempotent and may have been run.
   auto IsRetryable(const RequestJob& job, const RequestError& error) -> bool;
+  /// Responds to a request that was not sent or whose last attempt was not run;
+  /// the response says if an earlier attempt may have run.
+  auto SendRefusal(const RequestJob& job, const RoutingState& routing,
+                   HttpExchange& exchange, const std::string& reason,
+                   Duration retry_after) -> void;
   /// Adds the request to the metrics and logs its outcome.
   auto RecordOutcome(const RequestJob& job, const RoutingState& routing,
                      const std::string& result, const std::string& reason)
--- a/tests/servers/request_path_test.cc
+++ b/tests/servers/request_path_test.cc
@@ -104,6 +104,26 @@
   });
 }
 
+TEST_F(RequestPath, DoesNotReportARequestAsRefusedAfterAnAttemptThatRan) {
+  this->behaviour.work = std::chrono::milliseconds(500);
+  this->Run([this] {
+    SetBehaviour({{"lose_answers", true}});
+    FiberLoop::Current().Spawn([this] {
+      while (RunCountOf("1") == 0) SleepFor(std::chrono::milliseconds(5));
+      // Another holder's token, so that the server rejects the second attempt.
+      BackendServer backend;
+      backend.endpoint = {"127.0.0.1", kServerPort};
+      Grant other;
+      other.token = 1000;
+      this->client.SendGrant(backend, other, kTimeout);
+    });
+    const auto response = SendRequest(http::verb::get, "1");
+    EXPECT_EQ(response.result(), http::status::gateway_timeout);
+    EXPECT_EQ(VerdictOf(response), "may-have-run");
+    EXPECT_EQ(RunCountOf("1"), 1);
+  });
+}
+
 TEST_F(RequestPath, ReportsAnUnreachableServerAsNotRun) {
   this->Run([this] {
     BackendServer unreachable;
