--- a/tests/platform_wire/grant_client_test.cc
+++ b/tests/platform_wire/grant_client_test.cc
@@ -1,5 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <future>
+#include <thread>
+
 #include "fiber_test.h"
 #include "platform_grant_client.h"
 #include "platform_wire/scripted_server.h"
@@ -15,6 +20,56 @@
          "\r\nContent-Length: 0\r\n\r\n";
 }
 
+/// Accepts one connection and reads it to its end, on a thread of its own.
+class ReadingServer {
+ public:
+  ReadingServer() : acceptor(this->io, {boost::asio::ip::tcp::v4(), 0}) {
+    this->received =
+        std::async(std::launch::async, [this] { return this->Read(); });
+  }
+
+  [[nodiscard]] auto Port() const -> std::uint16_t {
+    return this->acceptor.local_endpoint().port();
+  }
+  /// @return all that was received.
+  auto Received() -> std::string { return this->received.get(); }
+
+ private:
+  auto Read() -> std::string {
+    boost::asio::ip::tcp::socket socket(this->io);
+    this->acceptor.accept(socket);
+    std::array<char, 1024> buffer{};
+    boost::system::error_code error;
+    std::string bytes;
+    while (!error) {
+      const auto size = socket.read_some(boost::asio::buffer(buffer), error);
+      bytes.append(buffer.data(), size);
+    }
+    return bytes;
+  }
+
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::future<std::string> received;
+};
+
+// A host may be suspended while it connects. Other coordinators count on the
+// grant's timeout.
+TEST(PlatformGrantClient, AGrantIsNotSentAfterItsTimeout) {
+  ReadingServer server;
+  GrantCall call;
+  call.owner = {ServerId("a"), milliseconds(1), "127.0.0.1", server.Port()};
+  call.timeout = milliseconds(100);
+  FiberLoop loop;
+  PlatformGrantClient client;
+  RunInFiber(loop, [&] {
+    // Runs once the grant waits for its connection.
+    loop.Spawn([&] { std::this_thread::sleep_for(3 * call.timeout); });
+    EXPECT_EQ(client.Grant(call).reply, GrantReply::kConnectFailed);
+  });
+  EXPECT_EQ(server.Received(), "");
+}
+
 TEST(PlatformGrantClient, ARepeatedResponseToAGrantIsNoResponseToARelease) {
   const auto port = TestPort(20);
   const KeyOwner owner = {ServerId("a"), milliseconds(1), "127.0.0.1", port};
