Bound the delivery of a grant while the host is suspended

What callers saw: nothing measured; found by reading. A server may hold keys under an old token while another one has them under a newer one.

Cause: a connection is reset when a call times out, but only by the running process. While a host is suspended, its system goes on sending what was written and not acknowledged. A grant written just before the suspension, to a server that is cut off, arrives when the cut ends, later than the 400 ms that other coordinators count for a call on its way.

Calls to the store and between hosts keep their behaviour.

Result: PlatformGrantClient.AGrantOfASuspendedHostIsNotDeliveredLater suspends the loop for five times the timeout while the server's receive buffer is full. Not covered: bytes that the server's system has acknowledged while its process is suspended.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -26,6 +26,8 @@
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using KeepCount =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 constexpr std::size_t kBodyBufferBytes = 16 * 1024;
 constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
@@ -158,6 +160,21 @@
   socket.set_option(KeepCount(kMaxLostProbes), ignored);
 }
 
+auto HttpConnection::SetAcknowledgementTimeout(
+    std::chrono::milliseconds timeout) -> void {
+  boost::system::error_code ignored;
+  this->stream.socket().set_option(
+      UserTimeout(static_cast<int>(timeout.count())), ignored);
+  this->has_acknowledgement_timeout = true;
+}
+
+auto HttpConnection::ClearAcknowledgementTimeout() -> void {
+  if (!this->has_acknowledgement_timeout) return;
+  boost::system::error_code ignored;
+  this->stream.socket().set_option(UserTimeout(0), ignored);
+  this->has_acknowledgement_timeout = false;
+}
+
 auto HttpConnection::IdleTimeout() const -> std::chrono::milliseconds {
   const auto field = this->Field("Keep-Alive");
   const auto at = field.find("timeout=");
@@ -311,6 +328,8 @@
                              std::unique_ptr<HttpConnection> connection)
     -> void {
   if (!connection->IsReusable()) return;
+  // It would end the connection at the first lost keepalive probe.
+  connection->ClearAcknowledgementTimeout();
   this->RegisterCleanup();
   auto& connections = this->idle_connections[{address, port}];
   if (connections.size() >= kMaxIdlePerEndpoint) return;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -48,6 +48,12 @@
   /// Enables TCP keepalive, so that a peer that disappeared without closing the
   /// connection is detected while the connection is idle.
   auto EnableTcpKeepAlive() -> void;
+  /// Makes the system reset the connection once sent bytes were not
+  /// acknowledged for this long, even while the process is suspended. Holds
+  /// until the connection is returned to a pool.
+  auto SetAcknowledgementTimeout(std::chrono::milliseconds timeout) -> void;
+  /// Ends the effect of SetAcknowledgementTimeout().
+  auto ClearAcknowledgementTimeout() -> void;
   /// @return the connection's number; 0 before it is established.
   [[nodiscard]] auto Number() const -> ConnectionNumber { return this->number; }
   /// @return the number of the thread's newest connection.
@@ -88,6 +94,7 @@
   std::unique_ptr<ParserState> parser_state;
   bool connected = false;
   bool has_sent_request = false;
+  bool has_acknowledgement_timeout = false;
   ConnectionNumber number = 0;
 };
 
--- a/tests/platform_wire/grant_client_test.cc
+++ b/tests/platform_wire/grant_client_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <future>
 #include <thread>
@@ -70,6 +71,78 @@
   EXPECT_EQ(server.Received(), "");
 }
 
+/// Accepts one connection with a small receive buffer, and reads it once
+/// Resume() was called.
+class SuspendedReader {
+ public:
+  SuspendedReader() : acceptor(this->io) {
+    this->acceptor.open(boost::asio::ip::tcp::v4());
+    this->acceptor.set_option(
+        boost::asio::ip::tcp::acceptor::receive_buffer_size(1024));
+    this->acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    this->acceptor.listen();
+    this->received =
+        std::async(std::launch::async, [this] { return this->Read(); });
+  }
+
+  [[nodiscard]] auto Port() const -> std::uint16_t {
+    return this->acceptor.local_endpoint().port();
+  }
+  [[nodiscard]] auto HasAccepted() const -> bool { return this->has_accepted; }
+  /// @return how many bytes arrived before the connection ended, or kMaxBytes
+  ///   if that many arrived.
+  auto Resume() -> std::size_t {
+    this->resumed.set_value();
+    return this->received.get();
+  }
+
+  static constexpr std::size_t kMaxBytes = 8 * 1024;
+
+ private:
+  auto Read() -> std::size_t {
+    boost::asio::ip::tcp::socket socket(this->io);
+    this->acceptor.accept(socket);
+    this->has_accepted = true;
+    this->resumed.get_future().wait();
+    std::array<char, 1024> buffer{};
+    boost::system::error_code error;
+    std::size_t bytes = 0;
+    while (!error && bytes < kMaxBytes) {
+      bytes += socket.read_some(boost::asio::buffer(buffer), error);
+    }
+    return bytes;
+  }
+
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::atomic<bool> has_accepted{false};
+  std::promise<void> resumed;
+  std::future<std::size_t> received;
+};
+
+// The system keeps sending what a suspended host has written.
+TEST(PlatformGrantClient, AGrantOfASuspendedHostIsNotDeliveredLater) {
+  SuspendedReader server;
+  GrantCall call;
+  call.owner = {ServerId("a"), milliseconds(1), "127.0.0.1", server.Port()};
+  call.timeout = milliseconds(100);
+  call.handover = std::string(SuspendedReader::kMaxBytes, 'x');
+  std::size_t received = 0;
+  FiberLoop loop;
+  PlatformGrantClient client;
+  RunInFiber(loop, [&] {
+    loop.Spawn([&] {
+      while (!server.HasAccepted()) SleepFor(milliseconds(1));
+      // The grant is written by now.
+      SleepFor(milliseconds(1));
+      std::this_thread::sleep_for(5 * call.timeout);
+      received = server.Resume();
+    });
+    EXPECT_EQ(client.Grant(call).reply, GrantReply::kNoResponse);
+  });
+  EXPECT_LT(received, SuspendedReader::kMaxBytes);
+}
+
 TEST(PlatformGrantClient, ARepeatedResponseToAGrantIsNoResponseToARelease) {
   const auto port = TestPort(20);
   const KeyOwner owner = {ServerId("a"), milliseconds(1), "127.0.0.1", port};
