Check the values of a stored owner map and of an update

What callers saw: nothing measured; found by reading. A row of owners with an address that is no IP address ends the process at the first call to that owner, as the exception of make_address is no RequestError.

Cause: OwnerMap::Decode and OwnerUpdate::Decode check the number of stripes and the index of an owner, but no address, ID or port; numbers that are negative, fractional or too large are converted without a check. A last token below one of a stripe would let used tokens come back.

Change: IDs (printable, at most 200 bytes), addresses, ports, tokens, indexes, stripes and the epoch are checked, and a value out of range is an InputError, which the readers of the row log. Maps that the program wrote keep their form.

Result: OwnerMap.RejectsValuesOutOfRange and OwnerUpdate.RejectsValuesOutOfRange failed before (22 of 28 and 5 of 7 values were accepted) and pass now, as do the other tests of OwnerMap.

--- a/src/keys/owner_map.cc
+++ b/src/keys/owner_map.cc
@@ -1,8 +1,11 @@
 #include "keys/owner_map.h"
 
 #include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <limits>
 
 #include "core/cbor.h"
+#include "keys/decode_integer.h"
 
 namespace currantbeam {
 namespace {
@@ -11,6 +14,29 @@
 /// stay exact in peers that read JSON numbers as doubles while epochs have at
 /// most 21 bits.
 constexpr int kTokenBitsPerEpoch = 32;
+/// The first token of the highest epoch that is accepted can be represented.
+constexpr StoreEpoch kMaxEpoch = (StoreEpoch{1} << 31) - 1;
+/// As long as the store's keys, one of which is the ID.
+constexpr std::size_t kMaxServerIdBytes = 200;
+
+auto DecodeServerId(const nlohmann::json& json) -> ServerId {
+  const auto id = json.get<std::string>();
+  // The ID is sent in headers.
+  const bool is_printable = std::all_of(
+      id.begin(), id.end(), [](char c) { return c > ' ' && c <= '~'; });
+  if (id.empty() || id.size() > kMaxServerIdBytes || !is_printable) {
+    throw InputError("key owner: invalid server ID");
+  }
+  return ServerId(id);
+}
+
+auto DecodeAddress(const nlohmann::json& json) -> std::string {
+  const auto address = json.get<std::string>();
+  boost::system::error_code error;
+  boost::asio::ip::make_address(address, error);
+  if (error) throw InputError("key owner: invalid IP address");
+  return address;
+}
 
 }  // namespace
 
@@ -19,10 +45,14 @@
 }
 
 auto from_json(const nlohmann::json& json, KeyOwner& owner) -> void {
-  owner.id = json.at(0).get<ServerId>();
-  owner.started = std::chrono::milliseconds(json.at(1).get<std::int64_t>());
-  owner.address = json.at(2).get<std::string>();
-  owner.port = json.at(3).get<std::uint16_t>();
+  using Limits = std::numeric_limits<std::int64_t>;
+  owner.id = DecodeServerId(json.at(0));
+  owner.started = std::chrono::milliseconds(DecodeInteger(
+      json.at(1), Limits::min(), Limits::max(), "key owner: start time"));
+  owner.address = DecodeAddress(json.at(2));
+  owner.port = DecodeInteger<std::uint16_t>(
+      json.at(3), 1, std::numeric_limits<std::uint16_t>::max(),
+      "key owner: port");
 }
 
 auto OwnerMap::OwnerOf(int stripe) const -> const KeyOwner* {
@@ -88,26 +118,32 @@
   return FromCbor(text, "owner map", [](const nlohmann::json& json) {
     const auto& indexes = json.at("stripes");
     const auto& tokens = json.at("fences");
-    const auto stripe_count = static_cast<int>(indexes.size());
-    const bool is_divisible = stripe_count > 0 && kKeyCount % stripe_count == 0;
-    if (!is_divisible || tokens.size() != indexes.size()) {
+    const auto stripe_count = indexes.size();
+    const bool is_divisible = stripe_count > 0 && stripe_count <= kKeyCount &&
+                              kKeyCount % stripe_count == 0;
+    if (!is_divisible || tokens.size() != stripe_count) {
       throw InputError("owner map: invalid number of stripes or tokens");
     }
-    OwnerMap map(stripe_count);
+    OwnerMap map(static_cast<int>(stripe_count));
     for (const auto& owner : json.at("owners")) {
+      if (map.owners.size() == stripe_count) {
+        throw InputError("owner map: more owners than stripes");
+      }
       map.owners.push_back(owner.get<KeyOwner>());
     }
-    const auto count = static_cast<int>(map.owners.size());
-    for (int i = 0; i < stripe_count; ++i) {
-      const auto index = indexes[i].get<int>();
-      if (index < kUnassigned || index >= count) {
-        throw InputError("owner map: owner index out of range");
-      }
-      map.stripes[i] = {index, tokens[i].get<FencingToken>()};
+    map.last_token = DecodeInteger<FencingToken>(json.at("last"), 0, kMaxToken,
+                                                 "owner map: last token");
+    const auto max_index = static_cast<int>(map.owners.size()) - 1;
+    for (std::size_t i = 0; i < stripe_count; ++i) {
+      map.stripes[i] = {DecodeInteger(indexes[i], kUnassigned, max_index,
+                                      "owner map: owner index"),
+                        DecodeInteger<FencingToken>(
+                            tokens[i], 0, map.last_token, "owner map: token")};
     }
-    map.last_token = json.at("last").get<FencingToken>();
     // Maps stored by earlier versions of the program have no epoch.
-    map.epoch = json.value("epoch", StoreEpoch(0));
+    map.epoch =
+        DecodeInteger<StoreEpoch>(json.value("epoch", nlohmann::json(0U)), 0,
+                                  kMaxEpoch, "owner map: epoch");
     return map;
   });
 }
--- a/src/keys/owner_map.h
+++ b/src/keys/owner_map.h
@@ -18,6 +18,10 @@
 /// one owner.
 constexpr int kDefaultStripeCount = 2048;
 
+/// Higher tokens are rejected when a map is decoded, so that further ones can
+/// be represented.
+constexpr auto kMaxToken = static_cast<FencingToken>(1) << 62;
+
 /// A range of adjacent keys, both ends included.
 struct KeyRange {
   int first = 0;
@@ -97,7 +101,8 @@
 
   /// @return the map as it is stored.
   [[nodiscard]] auto Encode() const -> std::string;
-  /// @throws InputError if the text is not an encoded map.
+  /// @throws InputError if the text is not an encoded map, or an owner can't be
+  ///   called, or a token is above the last one.
   static auto Decode(const std::string& text) -> OwnerMap;
 
  private:
--- a/src/keys/owner_update.cc
+++ b/src/keys/owner_update.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/cbor.h"
+#include "keys/decode_integer.h"
 
 namespace currantbeam {
 
@@ -47,8 +48,12 @@
     for (const auto& change : json.at("c")) {
       const auto index = change.at(1).get<std::size_t>();
       if (index >= owners.size()) throw InputError("owner update: bad index");
-      update.changes.push_back({change.at(0).get<int>(), owners[index],
-                                change.at(2).get<FencingToken>()});
+      update.changes.push_back(
+          {DecodeInteger(change.at(0), 0, kKeyCount - 1,
+                         "owner update: stripe"),
+           owners[index],
+           DecodeInteger<FencingToken>(change.at(2), 0, kMaxToken,
+                                       "owner update: token")});
     }
     return update;
   });
--- a/tests/keys/keys_test.cc
+++ b/tests/keys/keys_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 
+#include "core/cbor.h"
 #include "keys/test_servers.h"
 #include "store/store.h"
 
@@ -61,6 +62,78 @@
   }
 }
 
+/// @return an encoded map of four stripes whose first one has an owner, after a
+///   change of its JSON value.
+auto EncodeWith(const std::string& pointer, const nlohmann::json& value)
+    -> std::string {
+  OwnerMap map(4);
+  map.Assign(0, MakeOwner(1), map.NextToken());
+  auto json = nlohmann::json::from_cbor(map.Encode());
+  json.at(nlohmann::json::json_pointer(pointer)) = value;
+  return ToCbor(json);
+}
+
+// A row that another writer changed must not end the process, or bring back
+// used tokens.
+TEST(OwnerMap, RejectsValuesOutOfRange) {
+  EXPECT_NO_THROW(OwnerMap::Decode(EncodeWith("/last", 1)));
+  const std::vector<std::pair<std::string, nlohmann::json>> changes = {
+      {"/owners/0/0", ""},
+      {"/owners/0/0", "a\r\nb"},
+      {"/owners/0/0", std::string(1000, 'a')},
+      {"/owners/0/1", 1.5},
+      {"/owners/0/2", ""},
+      {"/owners/0/2", "host.example"},
+      {"/owners/0/2", "10.0.0.1:80"},
+      {"/owners/0/3", 0},
+      {"/owners/0/3", 65536 + 80},
+      {"/owners/0/3", -1},
+      {"/owners/0/3", 80.5},
+      {"/owners", nlohmann::json::array()},
+      {"/stripes", nlohmann::json::array({0, -1, -1})},
+      {"/stripes/0", -2},
+      {"/stripes/0", 1},
+      {"/stripes/0", 1LL << 32},
+      {"/stripes/0", 0.5},
+      {"/stripes/0", true},
+      {"/fences", nlohmann::json::array({1})},
+      {"/fences/0", -1},
+      {"/fences/0", 1.5},
+      {"/fences/0", 2},
+      {"/last", 0},
+      {"/last", -1},
+      {"/last", 1ULL << 63},
+      {"/epoch", -1},
+      {"/epoch", 1ULL << 40},
+  };
+  for (const auto& [pointer, value] : changes) {
+    EXPECT_THROW(OwnerMap::Decode(EncodeWith(pointer, value)), InputError)
+        << pointer << " " << value;
+  }
+}
+
+TEST(OwnerUpdate, RejectsValuesOutOfRange) {
+  OwnerUpdate update;
+  update.service = ServiceName("s");
+  update.changes.push_back({0, MakeOwner(1), 1});
+  const auto encoded = nlohmann::json::from_cbor(update.Encode());
+  const std::vector<std::pair<std::string, nlohmann::json>> changes = {
+      {"/o/0/2", "host.example"},
+      {"/o/0/3", 65536 + 80},
+      {"/c/0/0", -1},
+      {"/c/0/0", 1LL << 32},
+      {"/c/0/1", 1},
+      {"/c/0/1", -1},
+      {"/c/0/2", -1},
+  };
+  for (const auto& [pointer, value] : changes) {
+    auto json = encoded;
+    json.at(nlohmann::json::json_pointer(pointer)) = value;
+    EXPECT_THROW(OwnerUpdate::Decode(ToCbor(json)), InputError)
+        << pointer << " " << value;
+  }
+}
+
 TEST(OwnerMap, FindsOwnerByKey) {
   OwnerMap map(4);
   map.Assign(1, MakeOwner(7), 1);
