Give the owners in the tests of OwnerDirectory an IP address

Owner maps with the address "h" are rejected since the values of a stored map are checked, so four tests of OwnerDirectoryTest failed. The program only stores owners from server entries, whose addresses are IP addresses.

--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -329,7 +329,8 @@
 class OwnerDirectoryTest : public testing::Test {
  protected:
   auto Row(std::uint64_t version) -> StoreRow {
-    this->map.Assign(0, {ServerId("a"), milliseconds(1), "h", 1}, version);
+    this->map.Assign(0, {ServerId("a"), milliseconds(1), "10.0.0.1", 1},
+                     version);
     return {{"owners", "", "s"}, this->map.Encode(), {0, version}, false};
   }
   auto OwnerOfKey0() -> std::string {
@@ -350,7 +351,8 @@
   update.service = ServiceName("s");
   update.base_version = {0, 5};
   update.version = {0, 7};
-  update.changes.push_back({0, {ServerId("b"), milliseconds(1), "h", 2}, 6});
+  update.changes.push_back(
+      {0, {ServerId("b"), milliseconds(1), "10.0.0.1", 2}, 6});
   this->directory.OnUpdate(OwnerUpdate::Decode(update.Encode()));
   EXPECT_EQ(this->OwnerOfKey0(), "b");
   this->clock.Advance(milliseconds(600));
@@ -385,7 +387,8 @@
   update.service = ServiceName("s");
   update.base_version = {0, 5};
   update.version = {0, 7};
-  update.changes.push_back({0, {ServerId("b"), milliseconds(1), "h", 2}, 6});
+  update.changes.push_back(
+      {0, {ServerId("b"), milliseconds(1), "10.0.0.1", 2}, 6});
   this->directory.OnUpdate(update);
   EXPECT_EQ(this->OwnerOfKey0(), "a");
   EXPECT_THROW(OwnerUpdate::Decode("no update"), InputError);
@@ -393,7 +396,7 @@
 
 TEST_F(OwnerDirectoryTest, KeepsItsMapIfTheStoreReturnsAnOlderOne) {
   const auto older = this->Row(5);
-  this->map.Assign(0, {ServerId("b"), milliseconds(1), "h", 2}, 6);
+  this->map.Assign(0, {ServerId("b"), milliseconds(1), "10.0.0.1", 2}, 6);
   this->directory.OnRow(
       {{"owners", "", "s"}, this->map.Encode(), {0, 6}, false});
   auto rolled_back = older;
