--- a/src/keys/owner_map.cc
+++ b/src/keys/owner_map.cc
@@ -31,7 +31,7 @@
 }
 
 auto DecodeAddress(const nlohmann::json& json) -> std::string {
-  const auto address = json.get<std::string>();
+  auto address = json.get<std::string>();
   boost::system::error_code error;
   boost::asio::ip::make_address(address, error);
   if (error) throw InputError("key owner: invalid IP address");
