Accept no epoch whose tokens could not be read again

Found by the review of: an epoch from 2^30 on gives tokens above the largest that a stored map may have, so a coordinator would write maps that it refuses to read.

--- a/src/keys/owner_map.cc
+++ b/src/keys/owner_map.cc
@@ -15,7 +15,7 @@
 /// most 21 bits.
 constexpr int kTokenBitsPerEpoch = 32;
 /// The first token of the highest epoch that is accepted can be represented.
-constexpr StoreEpoch kMaxEpoch = (StoreEpoch{1} << 31) - 1;
+constexpr StoreEpoch kMaxEpoch = (StoreEpoch{1} << 30) - 1;
 /// As long as the store's keys, one of which is the ID.
 constexpr std::size_t kMaxServerIdBytes = 200;
 
