Probe for ended servers no longer than a stop leaves time

What callers could see: a request whose connection to a server broke off shortly before the end of a planned stop was closed without an answer.

Cause: EndedServerProbe waited up to 200 ms, whatever time the stop had left; with a grace of 6 s, 180 ms lie between the last time to respond and the end.

--- a/src/router/ended_server_probe.h
+++ b/src/router/ended_server_probe.h
@@ -13,10 +13,11 @@
 /// attempt. To be used from one loop.
 class EndedServerProbe {
  public:
-  /// Blocks the fiber until the server's address has been connected to.
+  /// Blocks the fiber until the server's address has been connected to, for at
+  /// most the timeout.
   /// @return whether no process listens at the address; false if that is
   ///   unknown.
-  auto HasEnded(const BackendEntry& server) -> bool;
+  auto HasEnded(const BackendEntry& server, Duration timeout) -> bool;
 
  private:
   struct Attempt {
--- a/src/router/quarantine_check.cc
+++ b/src/router/quarantine_check.cc
@@ -40,7 +40,8 @@
   auto& state = this->request.state;
   // The entry may be replaced while the probe waits.
   const ServerProcess process{server.id, server.started};
-  if (!state.ended_server_probe.HasEnded(server)) return;
+  const auto time_left = state.stop.respond_at - state.clock.Now();
+  if (!state.ended_server_probe.HasEnded(server, time_left)) return;
   Log(events::kServerEnded,
       {{"request", this->request.RequestId()},
        {"server", process.id.Value()},
