Look at the client's connection before each send, also if the loop seems in time

Cause, by reading: the connection was looked at only while the last run of a periodic task had been late by 50 ms. A host of 0.075 cores that reads requests late can have that timer in time. After the connect, which takes up to 400 ms, only the callback's word counted, which is reported as late as the request was.

Change: the connection is looked at before each connect and each send, one system call each; the sample of the loop's lateness goes. Both tests failed with the check taken out. IsNotSentIfTheClientDisconnectedWhileTheLoopWasLate becomes IsNotSentIfTheDisconnectOfItsClientIsUnreported: the same expectations, without the loop being marked as late, so it is stricter.

--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -81,7 +81,7 @@
 auto ForwardedRequest::Forward() -> void {
   this->request.state.RetryBudgetFor(this->request.service).OnRequest();
   this->RecordKeyLoad();
-  while (!this->HasClientDisconnected()) {
+  while (!this->request.CheckClientDisconnected()) {
     if (this->RefuseIfSuspect()) return;
     const auto target = this->ChooseTarget();
     if (target == nullptr) return;
@@ -139,15 +139,6 @@
   return !this->request.state.stop.Allows(send);
 }
 
-auto ForwardedRequest::HasClientDisconnected() -> bool {
-  // SetDisconnectCallback reports a disconnect only once the loop polls for
-  // events again, so the connection is checked directly while the loop is late.
-  const bool is_unreported = this->request.state.is_loop_late &&
-                             this->request.exchange.IsClientDisconnected();
-  this->request.is_client_disconnected |= is_unreported;
-  return this->request.is_client_disconnected;
-}
-
 auto ForwardedRequest::RespondAfterLastAttempt(AttemptOutcome last,
                                                BackendTarget& target) -> void {
   if (last != AttemptOutcome::kMayHaveRun) {
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -40,8 +40,6 @@
   [[nodiscard]] auto MayOutlastStop(const BackendTarget& target) const -> bool;
   /// Counts the request in the load of its key's stripe.
   auto RecordKeyLoad() -> void;
-  /// @return whether the client is known to have closed its connection.
-  auto HasClientDisconnected() -> bool;
   /// @return the server for the next attempt; null if there is none, in which
   ///   case the request has been refused.
   auto ChooseTarget() -> BackendTargetPtr;
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -57,6 +57,13 @@
   /// Not used by the attempts that follow.
   std::vector<RefusedConnection> refused_connections;
 
+  /// Checks the connection itself, as SetDisconnectCallback reports a
+  /// disconnect only once the loop polls for events again.
+  /// @return whether the client has disconnected.
+  auto CheckClientDisconnected() -> bool {
+    this->is_client_disconnected |= this->exchange.IsClientDisconnected();
+    return this->is_client_disconnected;
+  }
   /// @return when the request must get a response: at its deadline, or before
   ///   the process stops.
   [[nodiscard]] auto RespondAt() const -> TimePoint {
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -37,8 +37,6 @@
   LoadRecorder& loads;
   BackendChooser chooser;
   RetryLimits retry_limits;  ///< This host's limits, for each service.
-  /// The loop is overloaded, so events such as disconnects are reported late.
-  bool is_loop_late = false;
   std::shared_ptr<const RouteTable> routes;
   TargetSequence target_sequence;
   RequestMetrics metrics;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -21,8 +21,6 @@
 constexpr Duration kFirstStartTimeout = std::chrono::seconds(3);
 constexpr Duration kRestartTimeout = std::chrono::milliseconds(300);
 constexpr auto kPeriodicTaskInterval = std::chrono::milliseconds(200);
-/// The loop counts as overloaded when a timer fires this late.
-constexpr auto kLateLoopThreshold = std::chrono::milliseconds(50);
 constexpr int kTaskRunsPerSettingsPoll = 5;
 constexpr auto kQuarantineStoreInterval = std::chrono::seconds(1);
 constexpr auto kBackendBatchInterval = std::chrono::milliseconds(250);
@@ -161,10 +159,7 @@
 
 auto RouterProcess::RunPeriodicTasks() -> void {
   for (int run = 0;; ++run) {
-    const auto started_at = this->clock.Now();
     SleepFor(kPeriodicTaskInterval);
-    const auto delay = this->clock.Now() - started_at - kPeriodicTaskInterval;
-    this->state.is_loop_late = delay > kLateLoopThreshold;
     this->directory.ApplyTimeouts();
     this->state.quarantine.Expire(this->clock.Now());
     FlushLog();
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -37,7 +37,7 @@
   this->request.phase = RequestPhase::kConnecting;
   auto connection = this->Connect();
   if (connection == nullptr) return AttemptOutcome::kNotRun;
-  if (this->request.is_client_disconnected) {
+  if (this->request.CheckClientDisconnected()) {
     this->target.load.OnAbandoned();
     return AttemptOutcome::kClientDisconnected;
   }
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -6,6 +6,7 @@
 
 #include "backends/backends.h"
 #include "fiber_test.h"
+#include "port_block.h"
 #include "router/backend_chooser.h"
 #include "router/forwarded_request.h"
 #include "router/make_entry.h"
@@ -105,7 +106,7 @@
   bool has_responded = false;
 };
 
-TEST(ForwardedRequest, IsNotSentIfTheClientDisconnectedWhileTheLoopWasLate) {
+TEST(ForwardedRequest, IsNotSentIfTheDisconnectOfItsClientIsUnreported) {
   ManualClock clock;
   BackendDirectory directory(clock);
   auto entry = MakeEntry("a", 1);
@@ -117,7 +118,6 @@
   config.hosts["h"] = {MakeRoute("s", "/s/")};
   ForwardingState state(clock, {}, directory, owners, loads,
                         FailureDomain("x"));
-  state.is_loop_late = true;
   state.routes = std::make_shared<const RouteTable>(config);
   DisconnectedExchange exchange;
   FiberLoop loop;
@@ -130,6 +130,56 @@
       << "the server was tried";
 }
 
+/// A request whose client disconnects after the first look at its connection.
+class DisconnectingExchange : public DisconnectedExchange {
+ public:
+  [[nodiscard]] auto IsClientDisconnected() const -> bool override {
+    return this->look_count++ != 0;
+  }
+
+ private:
+  mutable int look_count = 0;
+};
+
+/// Counts the requests that it receives.
+class CountingHandler : public HttpHandler {
+ public:
+  auto Handle(HttpExchange& exchange) -> void override {
+    ++this->received;
+    exchange.Send(HttpResponse{http::status::ok, 11});
+  }
+  auto OnBadInput(const std::string& /*what*/) -> void override {}
+
+  int received = 0;
+};
+
+TEST(ForwardedRequest, IsNotSentIfItsClientDisconnectsDuringTheConnect) {
+  ManualClock clock;
+  BackendDirectory directory(clock);
+  auto entry = MakeEntry("a", 1);
+  entry.address = "127.0.0.1";
+  entry.port = TestPort(3);
+  directory.Apply(entry);
+  OwnerDirectory owners(clock);
+  LoadRecorder loads;
+  RouteConfig config;
+  config.hosts["h"] = {MakeRoute("s", "/s/")};
+  config.hosts["h"].front().timeout = std::chrono::seconds(5);
+  ForwardingState state(clock, {}, directory, owners, loads,
+                        FailureDomain("x"));
+  state.routes = std::make_shared<const RouteTable>(config);
+  DisconnectingExchange exchange;
+  CountingHandler handler;
+  HttpServer server(LocalServerOptions(entry.port), handler);
+  FiberLoop loop;
+  RunInFiber(loop, [&] {
+    server.Listen(loop);
+    ForwardedRequest(state, exchange).Run();
+  });
+  EXPECT_TRUE(exchange.is_aborted);
+  EXPECT_EQ(handler.received, 0);
+}
+
 /// A request that keeps the response to it.
 class RecordingExchange : public DisconnectedExchange {
  public:
