Report a forwarded attempt that may have run when a later one is refused

What callers saw: an idempotent request whose first attempt may have run, and whose second attempt the driving gateway refused, ended with 503 and 'not-run'.

Cause: ForwardToGateway() relayed the refusal of the driving gateway, so the handler of the client's request did not add the earlier attempt to it.

Change: a 503 with 'not-run' from the driving gateway is thrown as an OverloadError with its Retry-After; SendRefusal() then decides.

Evidence: RequestPath.DoesNotReportARequestAsRefusedAfterAForwardedOneThatRan failed before (503, 'not-run') and passes now.

--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -47,6 +47,22 @@
          target->gateway != gateway;
 }
 
+/// Reads the rest of a response, so that its connection can be used again.
+auto DiscardBody(HttpConnection& connection,
+                 std::chrono::milliseconds time_left) -> void {
+  while (!connection.ReadBody(time_left).empty()) {
+  }
+}
+
+/// @return the value of Retry-After; zero if it is absent or not a number of
+///   seconds.
+auto RetryAfterOf(const http::response_header<>& head) -> Duration {
+  const auto text = head[http::field::retry_after];
+  int seconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
 auto MakeForwardedRequest(const RequestJob& job, Duration time_left)
     -> HttpRequest {
   HttpRequest forwarded = *job.request;
@@ -93,13 +109,20 @@
                                          time_left + kDeadlineMargin);
   if (head.find(response_headers::kReroute) != head.end()) {
     const std::string reason(head[response_headers::kReroute]);
-    while (!connection->ReadBody(time_left).empty()) {
-    }
+    DiscardBody(*connection, time_left);
     watch.reset();
     pool.Release(endpoint.address, endpoint.port, std::move(connection));
     throw RerouteError(reason);
   }
   const auto verdict = VerdictFromString(std::string(head[kVerdictHeader]));
+  if (head.result() == http::status::service_unavailable &&
+      verdict == Verdict::kNotRun) {
+    // Not relayed, as an earlier attempt may have run.
+    DiscardBody(*connection, time_left);
+    watch.reset();
+    pool.Release(endpoint.address, endpoint.port, std::move(connection));
+    throw OverloadError("refused by the driving gateway", RetryAfterOf(head));
+  }
   if (head.result() == http::status::bad_gateway &&
       verdict == Verdict::kMayHaveRun) {
     throw RequestError(verdict, "the driver lost the server's answer");
--- a/tests/servers/request_path_test.cc
+++ b/tests/servers/request_path_test.cc
@@ -4,9 +4,34 @@
 
 #include <string>
 
+#include "gateway/response_relay.h"
+
 namespace currantbeam {
 namespace {
 
+/// A gateway that loses the server's answers to the first requests that it
+/// receives, and refuses all later ones.
+class RefusingGateway : public HttpHandler {
+ public:
+  explicit RefusingGateway(int lost_answers) : lost_answers(lost_answers) {}
+  auto Handle(HttpExchange& exchange) -> void override {
+    ++this->received;
+    if (this->received <= this->lost_answers) {
+      SendErrorResponse(exchange, http::status::bad_gateway,
+                        Verdict::kMayHaveRun, "lost");
+      return;
+    }
+    SendErrorResponse(exchange, http::status::service_unavailable,
+                      Verdict::kNotRun, "refused", std::chrono::seconds(7));
+  }
+  auto OnBadInput(const std::string& /*message*/) -> void override {}
+  [[nodiscard]] auto Received() const -> int { return this->received; }
+
+ private:
+  int lost_answers;
+  int received = 0;
+};
+
 TEST_F(RequestPath, RelaysWholeResponseWithItsVerdict) {
   this->Run([] {
     const auto response = SendRequest(http::verb::get, "1");
@@ -124,6 +149,35 @@
   });
 }
 
+TEST_F(RequestPath, DoesNotReportARequestAsRefusedAfterAForwardedOneThatRan) {
+  this->driver = HostId("other");
+  RefusingGateway gateway(1);
+  HttpServer port(LocalServerOptions(kOtherGatewayPort), gateway);
+  this->Run([&] {
+    port.Listen(FiberLoop::Current());
+    const auto response = SendRequest(http::verb::get, "1");
+    EXPECT_EQ(response.result(), http::status::gateway_timeout);
+    EXPECT_EQ(VerdictOf(response), "may-have-run");
+    EXPECT_EQ(gateway.Received(), 2);
+    port.StopAccepting();
+  });
+}
+
+TEST_F(RequestPath, KeepsTheRetryAfterOfAGatewayThatRefuses) {
+  this->driver = HostId("other");
+  RefusingGateway gateway(0);
+  HttpServer port(LocalServerOptions(kOtherGatewayPort), gateway);
+  this->Run([&] {
+    port.Listen(FiberLoop::Current());
+    const auto response = SendRequest(http::verb::post, "1");
+    EXPECT_EQ(response.result(), http::status::service_unavailable);
+    EXPECT_EQ(VerdictOf(response), "not-run");
+    EXPECT_EQ(response[http::field::retry_after], "7");
+    EXPECT_EQ(gateway.Received(), 1);
+    port.StopAccepting();
+  });
+}
+
 TEST_F(RequestPath, ReportsAnUnreachableServerAsNotRun) {
   this->Run([this] {
     BackendServer unreachable;
