--- a/src/gateway/gateway_shutdown.cc
+++ b/src/gateway/gateway_shutdown.cc
@@ -37,7 +37,7 @@
   while (this->HasServers() && clock.Now() < end) {
     SleepFor(kHandoverPollInterval);
   }
-  SleepFor(kHandoverPollInterval);
+  if (clock.Now() < until) SleepFor(kHandoverPollInterval);
 }
 
 auto GatewayShutdown::DrainUntil(HttpServer& server, TimePoint time) -> void {
