--- a/tests/core/stop_schedule_test.cc
+++ b/tests/core/stop_schedule_test.cc
@@ -1,9 +1,9 @@
-#include "core/core.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include "core/core.h"
+
 namespace currantbeam {
 namespace {
 
