Refuse a queued request whose server cannot respond before the stop

What callers saw: a request that was queued before a planned stop and got its slot late in it ended with 502 and 'may-have-run'.

Cause: admission compared the expected time with the request's own deadline when it was queued. WaitForSlot() did not compare it with the earlier limit of the stop when the slot became free, so the request was sent and cut.

Change: after the wait, a request whose expected time does not fit before ServerDeadline() is refused with 503 and 'not-run' if the stop has begun.

Evidence: GatewayStop.RefusesQueuedRequestsThatGetTheirSlotTooLate failed before (502, 'may-have-run') and passes now, as does RefusesRequestsThatWaitForASlot. The other tests of request_path_test were not run with this change.

--- a/src/gateway/backend_dispatcher.cc
+++ b/src/gateway/backend_dispatcher.cc
@@ -187,9 +187,22 @@
   if (this->state.GetClock().Now() >= start_until) {
     throw OverloadError("deadline passed in the queue", Duration(0));
   }
+  if (!this->FitsBeforeStop(job, *server)) {
+    throw OverloadError("the gateway stops before the server can respond",
+                        Duration(0));
+  }
   return permit;
 }
 
+auto BackendDispatcher::FitsBeforeStop(const RequestJob& job,
+                                       ServerState& server) -> bool {
+  if (!this->state.IsDraining()) return true;
+  const std::lock_guard lock(server.mutex);
+  const auto expected = server.times.Estimate(job.request_class.name, job.hash);
+  return this->state.GetClock().Now() + expected <=
+         this->state.ServerDeadline(job.deadline);
+}
+
 auto BackendDispatcher::RecordUsage(const RequestJob& job, ServerState& server,
                                     SlotIndex slot, Duration busy) -> void {
   {
--- a/src/gateway/backend_dispatcher.h
+++ b/src/gateway/backend_dispatcher.h
@@ -54,13 +54,16 @@
   auto GetServerState(const RouteTarget& target)
       -> std::shared_ptr<ServerState>;
   /// Blocks the fiber until the server has a free slot for the request.
-  /// @throws OverloadError if admission rejects the request or its deadline
-  /// passes first.
+  /// @throws OverloadError if admission rejects the request, its deadline
+  /// passes first, or the process stops before the server can respond.
   auto WaitForSlot(RequestJob& job, const std::shared_ptr<ServerState>& server)
       -> std::unique_ptr<Permit>;
   /// Blocks the fiber until the waiter's request is started or its deadline has
   /// passed.
   auto AwaitStart(const RequestJob& job, Waiter& waiter) -> void;
+  /// @return false if the process stops, and the server is expected to respond
+  /// only after the time that the stop allows.
+  auto FitsBeforeStop(const RequestJob& job, ServerState& server) -> bool;
   auto MakeWorkItem(const RequestJob& job, ServerState& server) -> WorkItem;
   auto SendAndRelay(RequestJob& job, HttpExchange& exchange,
                     ServerState& server, SlotIndex slot) -> void;
--- a/tests/servers/gateway_shutdown_test.cc
+++ b/tests/servers/gateway_shutdown_test.cc
@@ -294,5 +294,31 @@
   ExpectResponse(*late, http::status::service_unavailable, "not-run");
 }
 
+TEST_F(GatewayStop, RefusesQueuedRequestsThatGetTheirSlotTooLate) {
+  std::shared_ptr<PendingRequest> queued;
+  this->RunAndStop(
+      [&] {
+        // The server takes half of the stop for each request.
+        const auto start = [&](const std::string& id) {
+          auto request = MakeLongRequest(http::verb::put, id);
+          request.set("x-work-us", "3000000");
+          return this->Start(request, kClientPort);
+        };
+        const auto usual = start("usual");
+        WaitUntil([&] { return usual->is_done; });
+        for (int i = 0; i < kInitialConcurrency; ++i) {
+          const auto id = "running-" + std::to_string(i);
+          start(id);
+          WaitUntil([&] { return RunCountOf(id) == 1; });
+        }
+        queued = start("queued");
+        WaitUntil([&] {
+          return this->client_server.InFlight() == kInitialConcurrency + 1;
+        });
+      },
+      [] { EXPECT_EQ(RunCountOf("queued"), 0); });
+  ExpectResponse(*queued, http::status::service_unavailable, "not-run");
+}
+
 }  // namespace
 }  // namespace currantbeam
