--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -106,26 +106,35 @@
   bool has_responded = false;
 };
 
-TEST(ForwardedRequest, IsNotSentIfTheDisconnectOfItsClientIsUnreported) {
+/// A host that forwards requests of one route to one local server.
+struct ForwardingHost {
+  explicit ForwardingHost(milliseconds timeout, std::uint16_t port = 1) {
+    auto entry = MakeEntry("a", port);
+    entry.address = "127.0.0.1";
+    this->directory.Apply(entry);
+    RouteConfig config;
+    config.hosts["h"] = {MakeRoute("s", "/s/")};
+    config.hosts["h"].front().timeout = timeout;
+    this->state.routes = std::make_shared<const RouteTable>(config);
+  }
+
   ManualClock clock;
-  BackendDirectory directory(clock);
-  auto entry = MakeEntry("a", 1);
-  entry.address = "127.0.0.1";
-  directory.Apply(entry);
-  OwnerDirectory owners(clock);
+  BackendDirectory directory{this->clock};
+  OwnerDirectory owners{this->clock};
   LoadRecorder loads;
-  RouteConfig config;
-  config.hosts["h"] = {MakeRoute("s", "/s/")};
-  ForwardingState state(clock, {}, directory, owners, loads,
-                        FailureDomain("x"));
-  state.routes = std::make_shared<const RouteTable>(config);
+  ForwardingState state{this->clock,  {},          this->directory,
+                        this->owners, this->loads, FailureDomain("x")};
+};
+
+TEST(ForwardedRequest, IsNotSentIfTheDisconnectOfItsClientIsUnreported) {
+  ForwardingHost host(std::chrono::seconds(5));
   DisconnectedExchange exchange;
   FiberLoop loop;
-  RunInFiber(loop, [&] { ForwardedRequest(state, exchange).Run(); });
+  RunInFiber(loop, [&] { ForwardedRequest(host.state, exchange).Run(); });
   EXPECT_TRUE(exchange.is_aborted);
   EXPECT_FALSE(exchange.has_responded);
   std::string metrics;
-  state.metrics.AppendTo(metrics);
+  host.state.metrics.AppendTo(metrics);
   EXPECT_EQ(metrics.find("server=\"a\""), std::string::npos)
       << "the server was tried";
 }
@@ -154,27 +163,14 @@
 };
 
 TEST(ForwardedRequest, IsNotSentIfItsClientDisconnectsDuringTheConnect) {
-  ManualClock clock;
-  BackendDirectory directory(clock);
-  auto entry = MakeEntry("a", 1);
-  entry.address = "127.0.0.1";
-  entry.port = TestPort(3);
-  directory.Apply(entry);
-  OwnerDirectory owners(clock);
-  LoadRecorder loads;
-  RouteConfig config;
-  config.hosts["h"] = {MakeRoute("s", "/s/")};
-  config.hosts["h"].front().timeout = std::chrono::seconds(5);
-  ForwardingState state(clock, {}, directory, owners, loads,
-                        FailureDomain("x"));
-  state.routes = std::make_shared<const RouteTable>(config);
+  ForwardingHost host(std::chrono::seconds(5), TestPort(3));
   DisconnectingExchange exchange;
   CountingHandler handler;
-  HttpServer server(LocalServerOptions(entry.port), handler);
+  HttpServer server(LocalServerOptions(TestPort(3)), handler);
   FiberLoop loop;
   RunInFiber(loop, [&] {
     server.Listen(loop);
-    ForwardedRequest(state, exchange).Run();
+    ForwardedRequest(host.state, exchange).Run();
   });
   EXPECT_TRUE(exchange.is_aborted);
   EXPECT_EQ(handler.received, 0);
@@ -194,24 +190,13 @@
 };
 
 TEST(ForwardedRequest, IsRefusedIfTheProcessStopsBeforeItsServerCanRespond) {
-  ManualClock clock;
-  BackendDirectory directory(clock);
-  auto entry = MakeEntry("a", 1);
-  entry.address = "127.0.0.1";
-  directory.Apply(entry);
-  OwnerDirectory owners(clock);
-  LoadRecorder loads;
-  RouteConfig config;
-  config.hosts["h"] = {MakeRoute("s", "/s/")};
-  config.hosts["h"].front().timeout = std::chrono::seconds(5);
-  ForwardingState state(clock, {}, directory, owners, loads,
-                        FailureDomain("x"));
-  state.routes = std::make_shared<const RouteTable>(config);
-  state.stop = StopSchedule(clock.Now(), std::chrono::seconds(6));
-  clock.Advance(state.stop.servers_until - clock.Now() - milliseconds(5));
+  ForwardingHost host(std::chrono::seconds(5));
+  host.state.stop = StopSchedule(host.clock.Now(), std::chrono::seconds(6));
+  host.clock.Advance(host.state.stop.servers_until - host.clock.Now() -
+                     milliseconds(5));
   RecordingExchange exchange;
   FiberLoop loop;
-  RunInFiber(loop, [&] { ForwardedRequest(state, exchange).Run(); });
+  RunInFiber(loop, [&] { ForwardedRequest(host.state, exchange).Run(); });
   EXPECT_EQ(exchange.response.result(), http::status::service_unavailable);
   EXPECT_EQ(exchange.response[kVerdictHeader], "not-run");
   EXPECT_EQ(exchange.response.body(), "stopping\n");
@@ -224,24 +209,12 @@
 /// @return the reason of the refusal.
 auto RefusalWhileStopping(milliseconds grace, milliseconds after,
                           milliseconds timeout) -> std::string {
-  ManualClock clock;
-  BackendDirectory directory(clock);
-  auto entry = MakeEntry("a", 1);
-  entry.address = "127.0.0.1";
-  directory.Apply(entry);
-  OwnerDirectory owners(clock);
-  LoadRecorder loads;
-  RouteConfig config;
-  config.hosts["h"] = {MakeRoute("s", "/s/")};
-  config.hosts["h"].front().timeout = timeout;
-  ForwardingState state(clock, {}, directory, owners, loads,
-                        FailureDomain("x"));
-  state.routes = std::make_shared<const RouteTable>(config);
-  state.stop = StopSchedule(clock.Now(), grace);
-  clock.Advance(after);
+  ForwardingHost host(timeout);
+  host.state.stop = StopSchedule(host.clock.Now(), grace);
+  host.clock.Advance(after);
   RecordingExchange exchange;
   FiberLoop loop;
-  RunInFiber(loop, [&] { ForwardedRequest(state, exchange).Run(); });
+  RunInFiber(loop, [&] { ForwardedRequest(host.state, exchange).Run(); });
   EXPECT_EQ(exchange.response[kVerdictHeader], "not-run");
   return exchange.response.body();
 }
