--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -32,6 +33,14 @@
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15}
 
 
+# Two of the machine sizes of bsk-gateway.
+SMALL_MACHINE = {"cpuShare": 0.15, "cores": 1, "memoryMb": 195, "maxFds": 3075, "linkMbps": 750.0, "diskMb": 0}
+MEDIUM_MACHINE = {"cpuShare": 0.2, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0}
+
+
+UPLOAD_CHUNK = b"u" * 262144
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
@@ -58,9 +67,13 @@
 
 
 class Process:
-    def __init__(self, command, env, out):
-        self.popen = subprocess.Popen(command, cwd=ROOT, env=env, stdout=open(out, "ab"), stderr=subprocess.STDOUT,
-                                      stdin=subprocess.DEVNULL)
+    def __init__(self, command, env, out, max_fds=None):
+        def limit_fds():
+            resource.setrlimit(resource.RLIMIT_NOFILE, (max_fds, max_fds))
+
+        with open(out, "ab") as log:
+            self.popen = subprocess.Popen(command, cwd=ROOT, env=env, stdout=log, stderr=subprocess.STDOUT,
+                                          stdin=subprocess.DEVNULL, preexec_fn=limit_fds if max_fds else None)
 
     def is_up(self):
         return self.popen.poll() is None
@@ -78,6 +91,12 @@
             pass
         return 0.0
 
+    def fd_count(self):
+        try:
+            return len(os.listdir(f"/proc/{self.popen.pid}/fd"))
+        except OSError:
+            return 0
+
     def end(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
@@ -87,8 +106,8 @@
 class Machine:
     """One machine of the system with its router process."""
 
-    def __init__(self, deployment, number, memory_mb):
-        self.deployment, self.number, self.memory_mb = deployment, number, memory_mb
+    def __init__(self, deployment, number, limits):
+        self.deployment, self.number, self.limits = deployment, number, limits
         self.name = f"front-{number}"
         self.ip = f"{deployment.subnet}.{number}"
         self.front = (self.ip, PORTS["front"])
@@ -111,14 +130,14 @@
             "listen": {name: f"{self.ip}:{PORTS[name]}" for name in ("front", "ready", "control")},
             "portRange": [PORTS["peers"], PORTS["peers"] + 15], "seeds": [], "bootstrap": not self.starts,
             "lossCounts": False,
-            "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": self.memory_mb, "maxFds": 4100, "linkMbps": 1000.0,
-                       "diskMb": 0},
+            "limits": self.limits,
             "dataDir": None, "discovery": "platform", "entry": "vip", "beatS": HEARTBEAT_S,
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "own", "platform"],
             "tolerate": {"machines": 2, "zones": 1, "regions": 0}, "bounds": BOUNDS, "grants": "call",
             "platform": {"addr": deployment.store_address, **PLATFORM}}))
         env = {"CURRANTBEAM_BOOT": str(self.settings), "PATH": "/usr/bin:/bin"}
-        self.process = Process(router_command(), env, deployment.folder / f"{self.name}.log")
+        # 200 of the descriptors are for files; the process has fewer than 20 of those.
+        self.process = Process(router_command(), env, deployment.folder / f"{self.name}.log", self.limits["maxFds"] - 180)
         self.starts.append(time.monotonic())
         self.expected_end = False
 
@@ -129,11 +148,12 @@
     def __init__(self, deployment, service, number, options):
         self.deployment, self.service, self.number, self.options = deployment, service, number, options
         self.id = f"i-{service}-{number}"
-        self.address = (f"{deployment.subnet}.{20 + number}", PORTS["server"])
+        self.address = (f"{deployment.subnet}.{20 + number % 200}", PORTS["server"] + number // 200)
         self.log = deployment.folder / f"{self.id}.log"
         self.process = None
         self.seq = 0
         self.born = 0
+        self.state = "ready"
 
     def start(self):
         command = [sys.executable, "-B", str(ROOT / "review/lib/backend.py"), "--address", self.address[0], "--port",
@@ -144,7 +164,16 @@
     def entry(self):
         self.seq += 1
         return {"service": self.service, "addr": "%s:%d" % self.address, "zone": self.deployment.zone_of(self.number),
-                "version": "v1", "slots": 6, "state": "ready", "coldLeftS": 0, "seq": self.seq, "born": self.born}
+                "version": "v1", "slots": 6, "state": self.state, "coldLeftS": 0, "seq": self.seq, "born": self.born}
+
+    async def leave(self):
+        """Reports `draining`, serves on for a little longer than drainS, and ends."""
+        self.state = "draining"
+        await self.deployment.put("servers", self.id, self.entry())
+        await asyncio.sleep(BOUNDS["drainS"] + 0.5)
+        self.state = "gone"
+        self.process.signal(signal.SIGTERM)
+        await self.deployment.remove("servers", self.id)
 
     async def set_fault(self, fault):
         await post(self.address, "/standin/fault", json.dumps(fault))
@@ -171,10 +200,31 @@
         self.error = ""
         self.took = None
         self.body_bytes = 0
+        self.is_kept = False    # earlier requests were answered on its connection
+
+
+class Client:
+    """A client's connection; a keeping one uses it for many requests."""
+
+    def __init__(self, is_keeping=True):
+        self.is_keeping = is_keeping
+        self.machine = None     # that the open connection leads to
+        self.streams = None
+
+    async def connect(self, machine):
+        if self.streams is None:
+            self.streams = await asyncio.open_connection(*machine.front)
+            self.machine = machine
+        return self.streams
+
+    def close(self):
+        if self.streams is not None:
+            self.streams[1].transport.abort()
+        self.machine = self.streams = None
 
 
 class Deployment:
-    def __init__(self, services, routes, machines=3, memory_mb=260, server_options=None):
+    def __init__(self, services, routes, machines=3, limits=None, server_options=None):
         """services: name -> (number of servers, is_keyed)."""
         if not STORE.exists() or not pathlib.Path(router_command()[0]).exists():
             raise CannotRun("build the deploy file and run review/build.sh first")
@@ -182,10 +232,11 @@
         self.subnet = free_subnet()
         self.store_address = f"{self.subnet}.19:{PORTS['store']}"
         self.services, self.routes = services, routes
-        self.machines = [Machine(self, i + 1, memory_mb) for i in range(machines)]
+        self.server_options = server_options or {}
+        self.machines = [Machine(self, i + 1, limits or MEDIUM_MACHINE) for i in range(machines)]
         self.servers = []
         for name, (count, is_keyed) in services.items():
-            options = list((server_options or {}).get(name, [])) + (["--keyed"] if is_keyed else [])
+            options = list(self.server_options.get(name, [])) + (["--keyed"] if is_keyed else [])
             self.servers += [Server(self, name, len(self.servers) + i, options) for i in range(count)]
         self.store = None
         self.config_version = 0
@@ -207,6 +258,27 @@
         host, port = self.store_address.split(":")
         return await post((host, int(port)), "/rows-tx", json.dumps({"expect": [], "puts": [row], "remove": []}))
 
+    async def remove(self, table, key):
+        row = {"table": table, "part": "", "key": key}
+        host, port = self.store_address.split(":")
+        return await post((host, int(port)), "/rows-tx", json.dumps({"expect": [], "puts": [], "remove": [row]}))
+
+    async def add_server(self, service):
+        """Starts one more server; it registers itself once it listens."""
+        options = list(self.server_options.get(service, [])) + (["--keyed"] if self.services[service][1] else [])
+        server = Server(self, service, len(self.servers), options)
+        server.start()
+        self.servers.append(server)
+        for _ in range(100):
+            try:
+                _, writer = await asyncio.open_connection(*server.address)
+                writer.close()
+                break
+            except OSError:
+                await asyncio.sleep(0.05)
+        await self.put("servers", server.id, server.entry())
+        return server
+
     async def put_config(self):
         self.config_version += 1
         services = [{"name": name, "healthPath": "/health", "maxConns": 130, "protocol": "h1", "tls": False,
@@ -237,7 +309,7 @@
     async def write_heartbeats(self):
         while True:
             for server in self.servers:
-                if server.process.is_up():
+                if server.process.is_up() and server.state != "gone":
                     try:
                         await self.put("servers", server.id, server.entry())
                     except (OSError, asyncio.TimeoutError, IndexError):
@@ -251,8 +323,8 @@
                 process = machine.process
                 rss = process.rss_mb()
                 machine.peak_mb = max(machine.peak_mb, rss)
-                if rss > machine.memory_mb and process.is_up():
-                    self.note(machine.name, f"killed: {rss:.0f} MB in use, {machine.memory_mb} MB allowed")
+                if rss > machine.limits["memoryMb"] and process.is_up():
+                    self.note(machine.name, f"killed: {rss:.0f} MB in use, {machine.limits['memoryMb']} MB allowed")
                     machine.own_ends.append((time.monotonic(), "memory"))
                     machine.expected_end = True
                     process.signal(signal.SIGKILL)
@@ -281,23 +353,23 @@
             await asyncio.gather(*(ask(machine) for machine in self.machines))
             await asyncio.sleep(1.0)
 
-    def choose_machine(self):
+    def machines_for_clients(self):
+        """The machines that get new connections. Below half in rotation, the platform uses all of them."""
         ready = [machine for machine in self.machines if machine.in_rotation()]
-        # Below half in rotation, the platform uses all of them.
-        return random.choice(ready if 2 * len(ready) >= len(self.machines) else self.machines)
+        return ready if 2 * len(ready) >= len(self.machines) else self.machines
 
-    async def request(self, path, method="GET", key=None, deadline_ms=2500, body_bytes=0, machine=None):
-        """Sends one request on a connection of its own and waits for the answer until the client's deadline."""
+    async def request(self, path, method="GET", key=None, deadline_ms=2500, body_bytes=0, machine=None, client=None):
+        """Sends one request and waits for the answer until the client's deadline: on the client's connection, or on
+        one of its own."""
         self.request_count += 1
         request = f"q{self.request_count:06d}"
-        machine = machine or self.choose_machine()
+        machine = (client and client.machine) or machine or random.choice(self.machines_for_clients())
         answer = Answer(request, machine, time.monotonic())
         self.answers.append(answer)
         self.note("sent", request, machine.name, method, path, *([] if key is None else [f"key={key}"]),
                   *([f"body={body_bytes}"] if body_bytes else []))
-        writer = None
         try:
-            await asyncio.wait_for(self.exchange(answer, path, method, key, deadline_ms, body_bytes),
+            await asyncio.wait_for(self.exchange(answer, path, method, key, deadline_ms, body_bytes, client),
                                    deadline_ms / 1000)
         except asyncio.TimeoutError:
             answer.error = "no answer by the client's deadline"
@@ -308,21 +380,25 @@
                   answer.sealed_by or "")
         return answer
 
-    async def exchange(self, answer, path, method, key, deadline_ms, body_bytes):
-        reader, writer = await asyncio.open_connection(*answer.machine.front)
+    async def exchange(self, answer, path, method, key, deadline_ms, body_bytes, client):
+        client = client or Client(is_keeping=False)
+        answer.is_kept = client.machine is not None
+        is_whole = False
         try:
+            reader, writer = await client.connect(answer.machine)
             lines = [f"{method} {path} HTTP/1.1", "Host: h.example", f"X-Request-Id: {answer.request}",
-                     f"X-Deadline-Ms: {deadline_ms}", "Connection: close"]
+                     f"X-Deadline-Ms: {deadline_ms}"]
+            if not client.is_keeping:
+                lines.append("Connection: close")
             if key is not None:
                 lines.append(f"X-Shard-Key: {key}")
             if body_bytes or method == "POST":
                 lines.append(f"Content-Length: {body_bytes}")
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
             left = body_bytes
-            chunk = b"u" * 262144
             while left > 0:
-                writer.write(chunk[:left])
-                left -= len(chunk[:left])
+                writer.write(UPLOAD_CHUNK[:left])
+                left -= len(UPLOAD_CHUNK)
                 await writer.drain()
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
             headers = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip() for line in head[1:] if ":" in line}
@@ -330,8 +406,10 @@
             answer.body_bytes = len(body)
             answer.sealed_by = headers.get("x-backend-seal")
             answer.status = int(head[0].split()[1])
+            is_whole = headers.get("connection", "").lower() != "close"
         finally:
-            writer.transport.abort()
+            if not is_whole or not client.is_keeping:
+                client.close()
 
     def server_events(self):
         """Returns (time, server, fields) of all servers' logs, in order."""
@@ -345,6 +423,14 @@
                     events.append((0.0, server.id, ["output:", line]))
         return sorted(events, key=lambda event: event[0])
 
+    def lost_requests(self, sound_servers):
+        """The requests of kept connections that a sound server began to run and whose connection then ended without
+        an answer."""
+        names = {server.id for server in sound_servers}
+        ran = {fields[1] for _, server, fields in self.server_events() if fields[0] == "run" and server in names}
+        return [answer for answer in self.answers
+                if answer.is_kept and answer.error.startswith("connection") and answer.request in ran]
+
     def write_record(self, path, result):
         """Writes what was sent, answered and run, in order of time."""
         lines = list(self.record)
