--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -83,7 +83,7 @@
             await self.run(reader, writer, headers)
 
     async def send_endless(self, writer, kind, headers):
-        """Sends the head of an answer that belongs to no request, and then bytes without end until the caller closes."""
+        """Sends the head of an answer that belongs to no request, and then bytes without end."""
         self.log("endless", kind, headers.get("x-request-id", "-"))
         sent = 0
         try:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -137,7 +137,8 @@
             "platform": {"addr": deployment.store_address, **PLATFORM}}))
         env = {"CURRANTBEAM_BOOT": str(self.settings), "PATH": "/usr/bin:/bin"}
         # 200 of the descriptors are for files; the process has fewer than 20 of those.
-        self.process = Process(router_command(), env, deployment.folder / f"{self.name}.log", self.limits["maxFds"] - 180)
+        max_fds = self.limits["maxFds"] - 200 + 20
+        self.process = Process(router_command(), env, deployment.folder / f"{self.name}.log", max_fds)
         self.starts.append(time.monotonic())
         self.expected_end = False
 
