Limit the bytes of a response that is read whole

Cause: FetchOver() kept the whole body of a response, whatever its size. A server that answered /grant without end made the coordinator exceed its memory, and then the next host that became coordinator.

--- a/src/ctl/command_client.cc
+++ b/src/ctl/command_client.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr auto kTimeout = std::chrono::milliseconds(5000);
+constexpr std::uint64_t kMaxResponseBytes = 64 * 1024 * 1024;
 
 auto ParseEndpoint(const std::string& text) -> Endpoint {
   const auto colon = text.rfind(':');
@@ -41,7 +42,8 @@
     request.body() = body;
     try {
       const auto response =
-          Fetch(placer.address, placer.port, std::move(request), kTimeout);
+          Fetch(placer.address, placer.port, std::move(request), kTimeout,
+                kMaxResponseBytes);
       return {response.result_int(), nlohmann::json::parse(response.body())};
     } catch (const RequestError& error) {
       last_error = error.what();
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -122,6 +122,7 @@
 auto HttpConnection::Send(const HttpRequest& request,
                           std::chrono::milliseconds timeout) -> void {
   this->has_sent_request = true;
+  this->body_bytes_left = kMaxRelayedBodyBytes;
   this->parser_state->parser.reset();
   this->stream.expires_after(timeout);
   const auto written = Await(
@@ -136,6 +137,7 @@
                               std::chrono::milliseconds timeout)
     -> const http::response_header<>& {
   auto& parser = this->parser_state->parser.emplace();
+  // LimitBody() limits the body; the parser would not count its framing.
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   if (is_head_request) parser.skip(true);
   this->stream.expires_after(timeout);
@@ -200,6 +202,7 @@
   auto& parser = *this->parser_state->parser;
   auto& chunk = this->parser_state->chunk;
   if (chunk.size() < kBodyBufferBytes) chunk.resize(kBodyBufferBytes);
+  this->CheckBodyLimit(0);
   while (!parser.is_done()) {
     auto& body = parser.get().body();
     body.data = chunk.data();
@@ -209,6 +212,7 @@
       http::async_read_some(this->stream, this->parser_state->buffer, parser,
                             handler);
     });
+    this->CheckBodyLimit(result.bytes);
     const bool buffer_full = result.error == http::error::need_buffer;
     if (result.error && !buffer_full) {
       this->connected = false;
@@ -221,6 +225,18 @@
   return {};
 }
 
+auto HttpConnection::CheckBodyLimit(std::size_t received) -> void {
+  const auto announced =
+      this->parser_state->parser->content_length_remaining().value_or(0);
+  if (received <= this->body_bytes_left &&
+      announced <= this->body_bytes_left - received) {
+    this->body_bytes_left -= received;
+    return;
+  }
+  this->connected = false;
+  throw ResponseTooLarge();
+}
+
 auto HttpConnection::Field(const std::string& name) const -> std::string_view {
   std::string_view value;
   const auto range = this->parser_state->parser->get().base().equal_range(name);
@@ -341,7 +357,8 @@
 
 auto FetchOver(ConnectionPool& pool, std::unique_ptr<HttpConnection> connection,
                HttpRequest request, std::chrono::milliseconds timeout,
-               const std::string& id_header) -> HttpResponse {
+               const std::string& id_header, std::uint64_t max_bytes)
+    -> HttpResponse {
   const RemainingTime remaining(timeout);
   const auto address = connection->Address();
   const auto port = connection->Port();
@@ -350,6 +367,7 @@
   request.prepare_payload();
   HttpResponse response;
   response.base() = connection->Exchange(request, remaining());
+  connection->LimitBody(max_bytes);
   while (true) {
     const auto chunk = connection->ReadBody(remaining());
     if (chunk.empty()) break;
@@ -365,13 +383,14 @@
 }
 
 auto Fetch(const std::string& address, std::uint16_t port, HttpRequest request,
-           std::chrono::milliseconds timeout) -> HttpResponse {
+           std::chrono::milliseconds timeout, std::uint64_t max_bytes)
+    -> HttpResponse {
   const RemainingTime remaining(timeout);
   auto& pool = ConnectionPool::Current();
   auto connection = pool.Acquire(address, port,
                                  std::min(timeout, kFetchConnectTimeout), true);
-  return FetchOver(pool, std::move(connection), std::move(request),
-                   remaining());
+  return FetchOver(pool, std::move(connection), std::move(request), remaining(),
+                   {}, max_bytes);
 }
 
 }  // namespace currantbeam
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -16,6 +16,16 @@
 
 namespace currantbeam {
 
+/// A response has more bytes than its reader accepts.
+class ResponseTooLarge : public RequestError {
+ public:
+  ResponseTooLarge()
+      : RequestError(Verdict::kMayHaveRun, "the response is too large") {}
+};
+
+/// Enough for a response that reports the outcome of a call.
+constexpr std::uint64_t kDefaultMaxResponseBytes = 1024 * 1024;
+
 /// The client side of one HTTP/1.1 connection, used from one fiber at a time.
 /// It sends each request once, without retries, and reads the response as a
 /// head followed by chunks of the body. If it is closed before the response has
@@ -62,6 +72,11 @@
   [[nodiscard]] auto BodyLength() const
       -> std::optional<std::uint64_t> override;
   auto ReadBody(std::chrono::milliseconds timeout) -> std::string_view override;
+  /// Limits what ReadBody() reads from now until the next request is sent,
+  /// whose responses have the limit kMaxRelayedBodyBytes.
+  /// @param bytes  of all responses together, with the framing of their bodies.
+  ///   ReadBody() throws ResponseTooLarge instead of reading more.
+  auto LimitBody(std::uint64_t bytes) -> void { this->body_bytes_left = bytes; }
   /// @return the last value of this header or trailer field of the response;
   /// empty if the field is absent.
   [[nodiscard]] auto Field(const std::string& name) const -> std::string_view;
@@ -82,9 +97,16 @@
   /// called by another fiber of the same loop.
   auto Cancel() -> void;
 
+  /// The limit on a response that is passed on as it arrives.
+  static constexpr std::uint64_t kMaxRelayedBodyBytes = 1024 * 1024 * 1024;
+
  private:
   struct ParserState;
 
+  /// Counts received bytes of a body, and those that its head announces.
+  /// @throws ResponseTooLarge beyond the limit.
+  auto CheckBodyLimit(std::size_t received) -> void;
+
   /// @return true if a request was sent and its response not read completely.
   [[nodiscard]] auto IsExchangePending() const -> bool;
 
@@ -95,6 +117,7 @@
   bool connected = false;
   bool has_sent_request = false;
   bool has_acknowledgement_timeout = false;
+  std::uint64_t body_bytes_left = kMaxRelayedBodyBytes;
   ConnectionNumber number = 0;
 };
 
@@ -151,16 +174,24 @@
 /// @param timeout  for the whole exchange.
 /// @param id_header  the header in which a response repeats the request's ID. A
 ///   response with another ID belongs to another request and is a failure.
-/// @throws RequestError which says whether the request may have run.
+/// @param max_bytes  the size of the largest response that is accepted, without
+///   its head.
+/// @throws RequestError which says whether the request may have run;
+///   ResponseTooLarge if the response exceeds max_bytes.
 auto FetchOver(ConnectionPool& pool, std::unique_ptr<HttpConnection> connection,
                HttpRequest request, std::chrono::milliseconds timeout,
-               const std::string& id_header = {}) -> HttpResponse;
+               const std::string& id_header = {},
+               std::uint64_t max_bytes = kDefaultMaxResponseBytes)
+    -> HttpResponse;
 
 /// Sends a request and reads the whole response, over a connection of the
 /// calling thread's pool. TCP keepalive is enabled on new connections.
 /// @param timeout  for the whole call, including connecting.
-/// @throws RequestError which says whether the request may have run.
+/// @param max_bytes  as for FetchOver().
+/// @throws RequestError which says whether the request may have run;
+///   ResponseTooLarge if the response exceeds max_bytes.
 auto Fetch(const std::string& address, std::uint16_t port, HttpRequest request,
-           std::chrono::milliseconds timeout) -> HttpResponse;
+           std::chrono::milliseconds timeout,
+           std::uint64_t max_bytes = kDefaultMaxResponseBytes) -> HttpResponse;
 
 }  // namespace currantbeam
--- a/src/load/load_runner.cc
+++ b/src/load/load_runner.cc
@@ -95,9 +95,9 @@
     this->Count(arrival, &StreamResult::sent);
     const auto& target = this->PickTarget(arrival);
     try {
-      const auto response =
-          Fetch(target.address, target.port, this->MakeRequest(stream, arrival),
-                kRequestTimeout);
+      const auto response = Fetch(
+          target.address, target.port, this->MakeRequest(stream, arrival),
+          kRequestTimeout, stream.answer_bytes + kDefaultMaxResponseBytes);
       this->RecordResponse(stream, arrival, response);
     } catch (const RequestError& error) {
       const bool not_run = error.GetVerdict() == Verdict::kNotRun;
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -27,6 +27,8 @@
 
 namespace {
 
+/// Responses may hold whole tables or objects, of up to this size.
+constexpr std::uint64_t kMaxResponseBytes = 64 * 1024 * 1024;
 constexpr const char* kReadPath = "/v1/table/read";
 constexpr const char* kCommitPath = "/v1/table/commit";
 constexpr const char* kHostsPath = "/v1/hosts";
@@ -51,7 +53,8 @@
   HttpRequest request{method, target, 11};
   request.body() = body;
   try {
-    return Fetch(this->address, this->port, std::move(request), this->timeout);
+    return Fetch(this->address, this->port, std::move(request), this->timeout,
+                 kMaxResponseBytes);
   } catch (const RequestError& error) {
     throw PlatformError(std::string("platform: ") + error.what());
   }
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -19,6 +19,8 @@
 constexpr auto kReadPollInterval = std::chrono::milliseconds(20);
 /// No trial is started with less time than this left for its request.
 constexpr auto kMinTrialTime = std::chrono::milliseconds(20);
+/// Responses may hold whole tables, of up to this size.
+constexpr std::uint64_t kMaxTablesBytes = 32 * 1024 * 1024;
 constexpr const char* kReportPath = "/loads";
 constexpr const char* kUpdatePath = "/owners";
 constexpr const char* kOwnersPath = "/owners-since";
@@ -42,10 +44,12 @@
 }
 
 auto Post(const Endpoint& endpoint, const char* path, std::string body,
-          std::chrono::milliseconds timeout = kRequestTimeout) -> HttpResponse {
+          std::chrono::milliseconds timeout = kRequestTimeout,
+          std::uint64_t max_bytes = kDefaultMaxResponseBytes) -> HttpResponse {
   HttpRequest request{http::verb::post, path, 11};
   request.body() = std::move(body);
-  return Fetch(endpoint.address, endpoint.port, std::move(request), timeout);
+  return Fetch(endpoint.address, endpoint.port, std::move(request), timeout,
+               max_bytes);
 }
 
 }  // namespace
@@ -113,7 +117,8 @@
   if (!endpoint) return false;
   const auto sent_at = this->clock.Now();
   try {
-    const auto response = Post(*endpoint, kReportPath, report.Encode());
+    const auto response = Post(*endpoint, kReportPath, report.Encode(),
+                               kRequestTimeout, kMaxTablesBytes);
     if (response.result() != http::status::ok) return false;
     this->ApplyReportReply(LoadReportReply::Decode(response.body()), sent_at);
     return true;
@@ -187,7 +192,8 @@
   if (since_contact > kContactTimeout || !endpoint) return false;
   try {
     const auto response =
-        Post(*endpoint, kOwnersPath, EncodeVersions(known_versions));
+        Post(*endpoint, kOwnersPath, EncodeVersions(known_versions),
+             kRequestTimeout, kMaxTablesBytes);
     if (response.result() != http::status::ok) return false;
     this->ApplyOwners(TableUpdate::Decode(response.body()).rows);
     return true;
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -90,7 +90,7 @@
   /// @return the changed rows in the order of their versions, including
   ///   tombstones; no rows if nothing changed.
   /// @throws HistoryLost if the store dropped the history after that version,
-  ///   or is in a later epoch.
+  ///   is in a later epoch, or has more changes than one response may hold.
   /// @throws StoreError if the call fails.
   virtual auto Follow(const std::string& table, StoreVersion after,
                       std::chrono::milliseconds wait) -> RowBatch = 0;
--- a/tests/platform_wire/grant_client_test.cc
+++ b/tests/platform_wire/grant_client_test.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "fiber_test.h"
+#include "http/byte_source.h"
 #include "platform_grant_client.h"
 #include "platform_wire/scripted_server.h"
 #include "port_block.h"
@@ -166,5 +167,33 @@
   });
 }
 
+// A coordinator that kept all bytes would exceed its memory, and so would the
+// next one.
+TEST(PlatformGrantClient, AnEndlessResponseToAGrantIsNoResponse) {
+  ByteSource server("HTTP/1.1 200 OK\r\n\r\n", std::string(65'536, '\0'));
+  GrantCall call;
+  call.owner = {ServerId("a"), milliseconds(1), "127.0.0.1", server.Port()};
+  call.timeout = milliseconds(60'000);
+  FiberLoop loop;
+  PlatformGrantClient client;
+  RunInFiber(loop, [&] {
+    EXPECT_EQ(client.Grant(call).reply, GrantReply::kNoResponse);
+  });
+  EXPECT_TRUE(server.WasClosedByClient());
+}
+
+TEST(PlatformGrantClient, AnEndlessResponseToAReleaseIsNoRelease) {
+  ByteSource server("HTTP/1.1 200 OK\r\n\r\n", std::string(65'536, '\0'));
+  const KeyOwner owner = {ServerId("a"), milliseconds(1), "127.0.0.1",
+                          server.Port()};
+  FiberLoop loop;
+  PlatformGrantClient client;
+  RunInFiber(loop, [&] {
+    const auto reply = client.Release(owner, {0, 31}, 1, milliseconds(60'000));
+    EXPECT_FALSE(reply.is_released);
+  });
+  EXPECT_TRUE(server.WasClosedByClient());
+}
+
 }  // namespace
 }  // namespace currantbeam
--- a/tests/platform_wire/scripted_server.cc
+++ b/tests/platform_wire/scripted_server.cc
@@ -38,10 +38,11 @@
   return this->head.substr(start, this->head.find('\r', start) - start);
 }
 
-auto ScriptedConnection::Write(const std::string& bytes) -> void {
-  Await([&](auto handler) {
+auto ScriptedConnection::Write(const std::string& bytes) -> bool {
+  const auto result = Await([&](auto handler) {
     asio::async_write(this->socket, asio::buffer(bytes), handler);
   });
+  return !result.error;
 }
 
 auto ScriptedConnection::Close() -> void {
--- a/tests/platform_wire/scripted_server.h
+++ b/tests/platform_wire/scripted_server.h
@@ -23,7 +23,8 @@
   auto ReadRequest() -> bool;
   /// @return the value of a header of the last request; empty if it is absent.
   [[nodiscard]] auto Header(const std::string& name) const -> std::string;
-  auto Write(const std::string& bytes) -> void;
+  /// @return false if the client has closed the connection.
+  auto Write(const std::string& bytes) -> bool;
   /// Closes the connection; the client reads the end of the stream after all
   /// that was written.
   auto Close() -> void;
