Bound the body of a request in time and in bytes with its framing

Change: a body takes at most 8 bytes for each byte of the limit (the smallest chunk takes 6), else 413; and the time is compared before each read. A late body is answered with 408 like a late head; the connection was closed without an answer before. A stop rejects a body that never waits, too.

Evidence: EndlessRequest.OfChunkExtensionsIsRejectedAtTheLimitInBytes failed with the test alone on (256 MiB were read). EndlessRequest.IsRejected- AfterItsTimeout passed there, too: Asio's timer happened to run between the reads; it holds the bound for the new loop.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -20,6 +20,10 @@
 
 namespace asio = boost::asio;
 
+/// The bytes that a body may take in chunks, for each byte of its length. The
+/// smallest chunk takes 6 bytes.
+constexpr std::uint64_t kMaxEncodedLength = 8;
+
 /// @return whether the peer has closed or reset the connection.
 auto IsClosed(int socket) -> bool {
   char byte = 0;
@@ -233,7 +237,7 @@
   if (is_cancelled && this->server.rejecting_unread) {
     this->RejectInput(http::status::service_unavailable, "server stops");
   } else if (is_cancelled) {
-    this->RejectInput(http::status::request_timeout, "head is late");
+    this->RejectInput(http::status::request_timeout, "request is late");
   } else if (IsParseError(result.error)) {
     this->RejectInput(StatusOf(result.error), result.error.message());
   }
@@ -247,10 +251,7 @@
   if (this->server.rejecting_unread) {
     return {asio::error::operation_aborted, 0};
   }
-  this->SetTimeout(this->server.options.io_timeout);
-  return Await([&](auto handler) {
-    http::async_read(this->stream, this->buffer, parser, handler);
-  });
+  return this->ReadBody(parser);
 }
 
 auto HttpServer::Connection::ReadHead(
@@ -266,6 +267,31 @@
   });
 }
 
+auto HttpServer::Connection::ReadBody(
+    http::request_parser<http::string_body>& parser) -> AwaitResult {
+  const auto& options = this->server.options;
+  // The framing of chunks does not count towards the parser's limit.
+  const auto max_bytes = kMaxEncodedLength * options.limits.body_bytes +
+                         options.limits.header_bytes;
+  const auto read_until = std::chrono::steady_clock::now() + options.io_timeout;
+  const ReadTimeout timeout(this->stream.socket(), options.io_timeout);
+  AwaitResult result;
+  std::uint64_t bytes = 0;
+  while (!result.error && !parser.is_done()) {
+    // Neither the timeout nor a rejection interrupts reads that don't wait.
+    const bool is_late = std::chrono::steady_clock::now() >= read_until;
+    if (is_late || this->server.rejecting_unread) {
+      return {asio::error::operation_aborted, 0};
+    }
+    result = Await([&](auto handler) {
+      http::async_read_some(this->stream, this->buffer, parser, handler);
+    });
+    bytes += result.bytes;
+    if (bytes > max_bytes) result.error = http::error::body_limit;
+  }
+  return result;
+}
+
 auto HttpServer::Connection::HasCompleteHead() const -> bool {
   const auto data = this->buffer.cdata();
   const std::string_view text(static_cast<const char*>(data.data()),
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -66,8 +66,8 @@
   auto ReadRequest() -> bool;
 
   /// Reads a whole request.
-  /// @return operation_aborted if its head is late or the server rejects what
-  ///   is unread; the socket stays open for an error response.
+  /// @return operation_aborted if it is late or the server rejects what is
+  ///   unread; the socket stays open for an error response.
   auto ReadMessage(http::request_parser<http::string_body>& parser)
       -> AwaitResult;
   /// Reads the head of a request, within HttpLimits::header_timeout.
@@ -75,6 +75,10 @@
   ///   error response.
   auto ReadHead(http::request_parser<http::string_body>& parser) -> AwaitResult;
   [[nodiscard]] auto HasCompleteHead() const -> bool;
+  /// Reads the body of a request, within Options::io_timeout.
+  /// @return operation_aborted after the timeout; the socket stays open for an
+  ///   error response.
+  auto ReadBody(http::request_parser<http::string_body>& parser) -> AwaitResult;
 
   /// Reads the first bytes of the next request, within
   /// HttpLimits::idle_timeout.
