Bound the whole of a response that a gateway relays or discards

Change: a relayed response must have ended 30 s after the deadline of its request; a discarded one has the request's time and at most 64 KiB.

--- a/src/gateway/backend_dispatcher.cc
+++ b/src/gateway/backend_dispatcher.cc
@@ -218,7 +218,7 @@
 
 auto BackendDispatcher::Relay(RequestJob& job, HttpExchange& exchange,
                               ServerState& server, BackendCall& call) -> void {
-  ResponseRelay relay(exchange);
+  ResponseRelay relay(exchange, this->state.GetClock(), job.deadline);
   const bool caches_response =
       !job.idempotency_key.empty() && !job.request_class.idempotent;
   if (caches_response) relay.EnableCapture();
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr auto kConnectTimeout = std::chrono::milliseconds(300);
+constexpr std::uint64_t kMaxDiscardedBytes = 64 * 1024;
 constexpr const char* kServiceHeader = "currantbeam-hop-service";
 constexpr const char* kClassHeader = "currantbeam-hop-class";
 constexpr const char* kNeighbourHeader = "currantbeam-hop-neighbour";
@@ -48,9 +49,10 @@
 }
 
 /// Reads the rest of a response, so that its connection can be used again.
-auto DiscardBody(HttpConnection& connection,
-                 std::chrono::milliseconds time_left) -> void {
-  while (!connection.ReadBody(time_left).empty()) {
+auto DiscardBody(HttpConnection& connection, const Clock& clock,
+                 TimePoint deadline) -> void {
+  connection.LimitBody(kMaxDiscardedBytes);
+  while (!connection.ReadBody(TimeLeft(deadline, clock.Now())).empty()) {
   }
 }
 
@@ -87,8 +89,8 @@
   const auto& clock = state.GetClock();
   const auto endpoint = target.hop;
   auto& pool = ConnectionPool::Current();
-  const auto time_left =
-      TimeLeft(state.ServerDeadline(job.deadline), clock.Now());
+  const auto server_deadline = state.ServerDeadline(job.deadline);
+  const auto time_left = TimeLeft(server_deadline, clock.Now());
   std::unique_ptr<HttpConnection> connection;
   try {
     connection = pool.Acquire(endpoint.address, endpoint.port,
@@ -109,7 +111,7 @@
                                          time_left + kDeadlineMargin);
   if (head.find(response_headers::kReroute) != head.end()) {
     const std::string reason(head[response_headers::kReroute]);
-    DiscardBody(*connection, time_left);
+    DiscardBody(*connection, clock, server_deadline);
     watch.reset();
     pool.Release(endpoint.address, endpoint.port, std::move(connection));
     throw RerouteError(reason);
@@ -118,7 +120,7 @@
   if (head.result() == http::status::service_unavailable &&
       verdict == Verdict::kNotRun) {
     // Not relayed, as an earlier attempt may have run.
-    DiscardBody(*connection, time_left);
+    DiscardBody(*connection, clock, server_deadline);
     watch.reset();
     pool.Release(endpoint.address, endpoint.port, std::move(connection));
     throw OverloadError("refused by the driving gateway", RetryAfterOf(head));
@@ -127,7 +129,7 @@
       verdict == Verdict::kMayHaveRun) {
     throw RequestError(verdict, "the driver lost the server's answer");
   }
-  ResponseRelay relay(exchange);
+  ResponseRelay relay(exchange, clock, job.deadline);
   relay.Run(*connection, head);
   watch.reset();
   pool.Release(endpoint.address, endpoint.port, std::move(connection));
--- a/src/gateway/request_job.h
+++ b/src/gateway/request_job.h
@@ -51,12 +51,10 @@
       : OverloadError(what, std::chrono::seconds(1)) {}
 };
 
-/// @return milliseconds from now to the deadline, at least 1.
+/// @return the time from now to the deadline; not positive after it.
 inline auto TimeLeft(TimePoint deadline, TimePoint now)
     -> std::chrono::milliseconds {
-  const auto left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
-  return std::max(left, std::chrono::milliseconds(1));
+  return std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
 }
 
 }  // namespace currantbeam
--- a/src/gateway/response_relay.cc
+++ b/src/gateway/response_relay.cc
@@ -8,8 +8,6 @@
 
 constexpr std::uint64_t kMaxBufferedResponseBytes = 64 * 1024;
 constexpr std::size_t kMaxCachedBodyBytes = 16 * 1024;
-/// The maximum pause of a server in the middle of a response.
-constexpr auto kBodyReadTimeout = std::chrono::milliseconds(30'000);
 
 }  // namespace
 
@@ -44,11 +42,16 @@
   }
 }
 
+auto ResponseRelay::ReadPart(ResponseReader& source) -> std::string_view {
+  return source.ReadBody(std::chrono::ceil<std::chrono::milliseconds>(
+      this->relay_until - this->clock.Now()));
+}
+
 auto ResponseRelay::SendBuffered(ResponseReader& source,
                                  http::response_header<> head) -> void {
   HttpResponse response{std::move(head)};
   while (true) {
-    const auto part = source.ReadBody(kBodyReadTimeout);
+    const auto part = this->ReadPart(source);
     if (part.empty()) break;
     response.body().append(part);
   }
@@ -61,7 +64,7 @@
                            std::optional<std::uint64_t> length) -> void {
   this->exchange.StartBody(head, length);
   while (true) {
-    const auto part = source.ReadBody(kBodyReadTimeout);
+    const auto part = this->ReadPart(source);
     if (part.empty()) break;
     this->Capture(part);
     this->exchange.SendBody(part);
--- a/src/gateway/response_relay.h
+++ b/src/gateway/response_relay.h
@@ -22,7 +22,12 @@
 /// client's pace, so that memory stays bounded.
 class ResponseRelay {
  public:
-  explicit ResponseRelay(HttpExchange& exchange) : exchange(exchange) {}
+  /// @param deadline  of the request. The response must have ended
+  ///   kMaxTimeAfterDeadline after it.
+  ResponseRelay(HttpExchange& exchange, const Clock& clock, TimePoint deadline)
+      : exchange(exchange),
+        clock(clock),
+        relay_until(deadline + kMaxTimeAfterDeadline) {}
 
   /// Captures a copy of the response, up to a size limit. Call before Run.
   auto EnableCapture() -> void { this->capture_enabled = true; }
@@ -34,14 +39,21 @@
   /// disconnected.
   auto Run(ResponseReader& source, http::response_header<> head) -> void;
 
+  /// For a large response or a slow client.
+  static constexpr auto kMaxTimeAfterDeadline = std::chrono::seconds(30);
+
  private:
   auto SendBuffered(ResponseReader& source, http::response_header<> head)
       -> void;
   auto Stream(ResponseReader& source, const http::response_header<>& head,
               std::optional<std::uint64_t> length) -> void;
   auto Capture(std::string_view part) -> void;
+  /// @return the next part of the body; empty at its end.
+  auto ReadPart(ResponseReader& source) -> std::string_view;
 
   HttpExchange& exchange;
+  const Clock& clock;
+  TimePoint relay_until;
   bool capture_enabled = false;
   bool capture_complete = true;
   CachedResponse captured;
