Refuse requests with a transfer coding other than chunked

Cause: CheckFraming() looked for two lengths, and for a length beside a transfer coding, but not at the coding. A body in "gzip, chunked" was passed on encoded without the header that says so.

Change: one Transfer-Encoding header that is exactly chunked, or none; else 400 and the connection ends. Both request paths use this server.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -353,10 +353,13 @@
 
 auto HttpServer::Connection::CheckFraming() -> bool {
   const auto lengths = this->request.count(http::field::content_length);
-  const bool is_chunked =
-      this->request.count(http::field::transfer_encoding) != 0;
-  if (lengths <= 1 && !(is_chunked && lengths != 0)) return true;
-  this->RejectInput(http::status::bad_request, "ambiguous length");
+  const auto codings = this->request.count(http::field::transfer_encoding);
+  const bool is_chunked = boost::beast::iequals(
+      this->request[http::field::transfer_encoding], "chunked");
+  if (codings == 0 && lengths <= 1) return true;
+  if (codings == 1 && is_chunked && lengths == 0) return true;
+  this->RejectInput(http::status::bad_request,
+                    "ambiguous length or unknown transfer coding");
   return false;
 }
 
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -422,6 +422,39 @@
   });
 }
 
+// The bytes of a body whose coding is not known would run as a request.
+TEST_F(Forwarding, RejectsRequestsWithATransferCodingOtherThanChunked) {
+  this->fleet.Run([&] {
+    const std::string inner =
+        "GET /safe/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: "
+        "inner\r\n\r\n";
+    const std::string outer =
+        "POST /order/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: outer\r\n";
+    const std::string coding = "Transfer-Encoding: ";
+    const std::vector<std::string> codings = {
+        coding + "identity\r\n",
+        coding + "gzip\r\n",
+        coding + "deflate\r\n",
+        coding + "\r\n",
+        coding + "xchunked\r\n",
+        coding + "chunked, identity\r\n",
+        coding + "chunked\r\n" + coding + "identity\r\n",
+        coding + "identity\r\n" + coding + "chunked\r\n",
+        coding + "gzip, chunked\r\n"};
+    for (const auto& fields : codings) {
+      const auto chunked_end = fields.find("chunked\r\n") != std::string::npos
+                                   ? std::string("0\r\n\r\n")
+                                   : std::string();
+      const auto answer =
+          this->fleet.SendRaw(outer + fields + "\r\n" + chunked_end + inner);
+      EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << fields;
+      EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << fields;
+    }
+    EXPECT_EQ(this->fleet.RunCount("inner"), 0);
+    EXPECT_EQ(this->fleet.RunCount("outer"), 0);
+  });
+}
+
 TEST_F(Forwarding, RejectsAmbiguousAndOversizedRequests) {
   this->fleet.Run([&] {
     const std::vector<std::string> heads = {
