Relay no success whose body has a transfer coding other than chunked

The same on the side of servers: the coding's header ends with the connection, so the caller would get an encoded body as a plain one, as with a Content-Encoding. FaultyResponse.AnEncodedBodyIsNoSuccess got 200 before, and 502 now.

--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -222,7 +222,9 @@
   const bool is_sealed = !connection.Field(headers.seal).empty();
   const bool has_own_id =
       connection.Field(headers.request_id) == this->request.RequestId();
-  const bool is_unencoded = connection.Field("Content-Encoding").empty();
+  const auto coding = connection.Field("Transfer-Encoding");
+  const bool is_unencoded = connection.Field("Content-Encoding").empty() &&
+                            (coding.empty() || coding == "chunked");
   return is_sealed && has_own_id && is_unencoded;
 }
 
--- a/tests/platform_wire/faulty_response_test.cc
+++ b/tests/platform_wire/faulty_response_test.cc
@@ -350,6 +350,21 @@
   });
 }
 
+// The header that names the coding is not relayed.
+TEST_F(FaultyResponse, AnEncodedBodyIsNoSuccess) {
+  const auto script = [](ScriptedConnection& connection) {
+    while (connection.ReadRequest()) {
+      connection.Write(
+          Head("200 OK", connection.Header("X-Request-Id"),
+               std::string(kSealed) + "Transfer-Encoding: gzip, chunked\r\n") +
+          "4\r\nbody\r\n0\r\n\r\n");
+    }
+  };
+  this->Run(script, [&] {
+    EXPECT_EQ(this->fleet.Send("/order/a", "id").result_int(), 502U);
+  });
+}
+
 TEST_F(FaultyResponse, AStatusAloneDoesNotSayThatARequestHasNotRun) {
   std::string status;
   int runs = 0;
