Close idle connections of endpoints that are not called any more

Cause: the pool looked at an idle connection only when its endpoint was called again; nobody calls a server that is gone, nor a former coordinator the servers it granted keys to. Change: each pool closes what has expired or was closed by its peer every 5 s, and drops endpoints without connections.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -41,6 +41,7 @@
 /// longer timeout, an attempt would still be pending after the partition has
 /// ended.
 constexpr auto kFetchConnectTimeout = std::chrono::milliseconds(500);
+constexpr auto kPruneInterval = std::chrono::seconds(5);
 constexpr int kKeepAliveProbeSeconds = 1;
 constexpr int kMaxLostProbes = 2;
 
@@ -309,14 +310,11 @@
                              bool tcp_keep_alive)
     -> std::unique_ptr<HttpConnection> {
   auto& connections = this->idle_connections[{address, port}];
+  const auto now = std::chrono::steady_clock::now();
   while (!connections.empty()) {
     auto candidate = std::move(connections.back());
     connections.pop_back();
-    const bool is_unexpired =
-        std::chrono::steady_clock::now() < candidate.expires_at;
-    if (is_unexpired && !candidate.connection->IsStale()) {
-      return std::move(candidate.connection);
-    }
+    if (CanBeUsed(candidate, now)) return std::move(candidate.connection);
   }
   auto connection = std::make_unique<HttpConnection>(address, port);
   connection->Connect(timeout);
@@ -330,7 +328,7 @@
   auto& connections = this->idle_connections[{address, port}];
   const auto now = std::chrono::steady_clock::now();
   for (auto it = connections.begin(); it != connections.end();) {
-    if (now >= it->expires_at || it->connection->IsStale()) {
+    if (!CanBeUsed(*it, now)) {
       it = connections.erase(it);
       continue;
     }
@@ -361,6 +359,42 @@
   return it == this->idle_connections.end() ? 0 : it->second.size();
 }
 
+auto ConnectionPool::IdleCount() const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [endpoint, connections] : this->idle_connections) {
+    count += connections.size();
+  }
+  return count;
+}
+
+auto ConnectionPool::CanBeUsed(const IdleConnection& idle,
+                               std::chrono::steady_clock::time_point now)
+    -> bool {
+  return now < idle.expires_at && !idle.connection->IsStale();
+}
+
+auto ConnectionPool::RunPruning() -> void {
+  while (true) {
+    SleepFor(kPruneInterval);
+    this->Prune();
+  }
+}
+
+auto ConnectionPool::Prune() -> void {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto it = this->idle_connections.begin();
+       it != this->idle_connections.end();) {
+    auto& connections = it->second;
+    const auto is_unusable = [now](const IdleConnection& idle) {
+      return !CanBeUsed(idle, now);
+    };
+    connections.erase(
+        std::remove_if(connections.begin(), connections.end(), is_unusable),
+        connections.end());
+    it = connections.empty() ? this->idle_connections.erase(it) : std::next(it);
+  }
+}
+
 auto ConnectionPool::RegisterCleanup() -> void {
   if (this->is_cleanup_registered) return;
   // Idle connections must be destroyed before the loop whose I/O context they
@@ -370,6 +404,7 @@
     this->is_cleanup_registered = false;
   });
   this->is_cleanup_registered = true;
+  FiberLoop::Current().Spawn([this] { this->RunPruning(); });
 }
 
 auto ConnectionPool::Release(const std::string& address, std::uint16_t port,
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -167,10 +167,17 @@
   /// @return how many idle connections to the endpoint the pool has.
   [[nodiscard]] auto IdleCount(const std::string& address,
                                std::uint16_t port) const -> std::size_t;
+  /// @return how many idle connections the pool has, to all endpoints.
+  [[nodiscard]] auto IdleCount() const -> std::size_t;
   /// Returns the connection to the pool if it is reusable, else closes it.
   auto Release(const std::string& address, std::uint16_t port,
                std::unique_ptr<HttpConnection> connection) -> void;
 
+  /// Closes the idle connections that can't be used again. The pool does this
+  /// periodically, as those to an endpoint that isn't called any more would
+  /// otherwise stay open.
+  auto Prune() -> void;
+
  private:
   struct IdleConnection {
     std::unique_ptr<HttpConnection> connection;
@@ -180,6 +187,10 @@
 
   /// Registers the clean-up of the idle connections at the end of their loop.
   auto RegisterCleanup() -> void;
+  /// Calls Prune() every kPruneInterval, until the loop stops.
+  auto RunPruning() -> void;
+  static auto CanBeUsed(const IdleConnection& idle,
+                        std::chrono::steady_clock::time_point now) -> bool;
 
   std::map<Endpoint, std::deque<IdleConnection>> idle_connections;
   bool is_cleanup_registered = false;
