Reject TRACE with a body, and count a request only once it is built

A TRACE request with a body ended in an exception of Beast after it was counted as in flight at its server: no answer, and a place that was never free again, so that after some 30 the host refused all requests to the service (seen by the review).

Change: 400, as TRACE has no body (RFC 9110, 9.3.8); and the forwarded request is built before it is counted, so that no other request that can't be built takes a place. Its deadline is still set when it is sent.

Evidence: Forwarding.RejectsTraceWithABodyAndGoesOnServing failed before.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -374,6 +374,11 @@
 }
 
 auto HttpServer::Connection::CheckFraming() -> bool {
+  const bool has_body = !this->request.body().empty();
+  if (this->request.method() == http::verb::trace && has_body) {
+    this->RejectInput(http::status::bad_request, "TRACE with a body");
+    return false;
+  }
   const auto lengths = this->request.count(http::field::content_length);
   const auto codings = this->request.count(http::field::transfer_encoding);
   const bool is_chunked = boost::beast::iequals(
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -99,7 +99,7 @@
   /// Rejects a request whose body length is ambiguous, as another server could
   /// parse it differently (request smuggling), and one with a transfer coding
   /// other than chunked, whose body the parser would take for the next request
-  /// or leave encoded.
+  /// or leave encoded. TRACE has no body at all.
   /// @return whether the request was accepted.
   auto CheckFraming() -> bool;
   static auto IsParseError(const boost::system::error_code& error) -> bool;
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -33,6 +33,9 @@
 }  // namespace
 
 auto ServerAttempt::Run() -> AttemptOutcome {
+  // Fails for a request that can't be serialized, so it comes before the server
+  // counts as loaded with it.
+  auto forwarded = this->BuildRequest();
   this->sent_at = this->request.state.clock.Now();
   this->target.load.OnSent();
   this->request.phase = RequestPhase::kConnecting;
@@ -47,7 +50,7 @@
   this->request.is_sent = true;
   this->request.phase = RequestPhase::kAwaitingAnswer;
   try {
-    const auto outcome = this->Exchange(*connection);
+    const auto outcome = this->Exchange(*connection, std::move(forwarded));
     this->request.upstream = nullptr;
     this->ReleaseConnection(std::move(connection), outcome);
     return outcome;
@@ -122,18 +125,20 @@
     forwarded.method_string(request.method_string());
   }
   CopyEndToEndHeaders(request, forwarded);
-  const auto time_left =
-      std::max(this->request.TimeUntil(this->request.ServerDeadline()),
-               std::chrono::milliseconds(1));
-  forwarded.set(headers.deadline_ms, std::to_string(time_left.count()));
   forwarded.set(headers.server_id, this->target.entry.id.Value());
   forwarded.body() = {request.body().data(), request.body().size()};
   forwarded.prepare_payload();
   return forwarded;
 }
 
-auto ServerAttempt::Exchange(HttpConnection& connection) -> AttemptOutcome {
-  connection.SendView(this->BuildRequest(), this->request.TimeLeft());
+auto ServerAttempt::Exchange(HttpConnection& connection,
+                             HttpRequestView request) -> AttemptOutcome {
+  const auto server_time =
+      std::max(this->request.TimeUntil(this->request.ServerDeadline()),
+               std::chrono::milliseconds(1));
+  request.set(this->request.state.headers.deadline_ms,
+              std::to_string(server_time.count()));
+  connection.SendView(request, this->request.TimeLeft());
   connection.LimitBody(kMaxSkippedBytes);
   this->ReadMatchingResponse(connection);
   this->RecordServerState(connection);
--- a/src/router/server_attempt.h
+++ b/src/router/server_attempt.h
@@ -31,7 +31,8 @@
   /// Sends the request and handles the response.
   /// @throws RequestError if the request may have run and no response was
   ///   relayed.
-  auto Exchange(HttpConnection& connection) -> AttemptOutcome;
+  auto Exchange(HttpConnection& connection, HttpRequestView request)
+      -> AttemptOutcome;
   /// @return the request to send; its body is that of the caller's request.
   [[nodiscard]] auto BuildRequest() const -> HttpRequestView;
   /// Returns the connection to the pool; after a refusal, only once the request
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -455,6 +455,21 @@
   });
 }
 
+// It ended in an exception after it was counted as in flight at the server,
+// which then got no more requests.
+TEST_F(Forwarding, RejectsTraceWithABodyAndGoesOnServing) {
+  this->fleet.Run([&] {
+    for (int i = 0; i < 40; ++i) {
+      const auto answer = this->fleet.SendRaw(
+          "TRACE /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+          "X-Request-Id: trace\r\nContent-Length: 1\r\n\r\nx");
+      EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400");
+    }
+    EXPECT_EQ(this->fleet.Send("/safe/a", "id").result_int(), 200U);
+    EXPECT_EQ(this->fleet.RunCount("trace"), 0);
+  });
+}
+
 TEST_F(Forwarding, RejectsAmbiguousAndOversizedRequests) {
   this->fleet.Run([&] {
     const std::vector<std::string> heads = {
