Drop the trailers of requests and of relayed answers

The parser adds the fields of a trailer to those of the head, so a trailer X-Request-Id reached the server as a second id, and a server's trailers the caller as headers (the first seen by the review, the second by reading).

Change: a request has the fields of its head only; the head of an answer is copied before its body is read.

Evidence: FaultyResponse.TrailersAreRelayedInNeitherDirection failed before in both directions.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -264,7 +264,12 @@
   if (this->server.rejecting_unread) {
     return {asio::error::operation_aborted, 0};
   }
-  return this->ReadBody(parser);
+  if (!parser.chunked()) return this->ReadBody(parser);
+  // The parser adds the fields of a trailer to those of the head.
+  const HttpFields head_fields = parser.get();
+  const auto result = this->ReadBody(parser);
+  static_cast<HttpFields&>(parser.get()) = head_fields;
+  return result;
 }
 
 auto HttpServer::Connection::ReadHead(
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -252,6 +252,9 @@
 auto ServerAttempt::Deliver(HttpConnection& connection) -> AttemptOutcome {
   this->request.phase = RequestPhase::kReadingAnswer;
   connection.LimitBody(HttpConnection::kMaxRelayedBodyBytes);
+  // Copied before the body is read, which may add the fields of a trailer.
+  HttpResponse response;
+  CopyEndToEndHeaders(connection.Head(), response);
   std::string body;
   const auto length = connection.BodyLength();
   const bool is_large = length && *length > kMaxBufferedBodyBytes;
@@ -267,9 +270,7 @@
     this->Stream(connection, body);
     return AttemptOutcome::kAnswered;
   }
-  HttpResponse response;
   response.result(this->status);
-  CopyEndToEndHeaders(connection.Head(), response);
   response.body() = std::move(body);
   this->request.Respond(std::move(response));
   return AttemptOutcome::kAnswered;
--- a/tests/platform_wire/faulty_response_test.cc
+++ b/tests/platform_wire/faulty_response_test.cc
@@ -350,6 +350,33 @@
   });
 }
 
+/// @return a request or response without a body, but with a trailer.
+auto WithTrailer(const std::string& head) -> std::string {
+  return head + "0\r\nX-Request-Id: second\r\nX-Trailer: t\r\n\r\n";
+}
+
+// A trailer could add headers that the receiver takes for those of the head.
+TEST_F(FaultyResponse, TrailersAreRelayedInNeitherDirection) {
+  std::string received;
+  const auto script = [&](ScriptedConnection& connection) {
+    if (!connection.ReadRequest()) return;
+    received = connection.Header("X-Trailer") + connection.Header("X-Head");
+    connection.Write(
+        WithTrailer(Head("200 OK", "first", std::string(kSealed) + kChunked)));
+    connection.Close();
+  };
+  this->Run(script, [&] {
+    const auto answer = this->fleet.SendRaw(
+        WithTrailer("POST /order/a HTTP/1.1\r\nHost: h.example\r\nX-Head: h\r\n"
+                    "Connection: close\r\nX-Request-Id: first\r\n" +
+                    std::string(kChunked) + "\r\n"));
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(answer.find("X-Trailer"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("second"), std::string::npos) << answer;
+    EXPECT_EQ(received, "h");
+  });
+}
+
 // The header that names the coding is not relayed.
 TEST_F(FaultyResponse, AnEncodedBodyIsNoSuccess) {
   const auto script = [](ScriptedConnection& connection) {
