--- a/src/http/cancel_on_peer_loss.h
+++ b/src/http/cancel_on_peer_loss.h
@@ -3,7 +3,7 @@
 #include <functional>
 #include <list>
 
-#include "http/http_client.h"
+#include "http/http_connection.h"
 
 namespace currantbeam {
 
