--- a/tests/http/endless_request_test.cc
+++ b/tests/http/endless_request_test.cc
@@ -48,7 +48,8 @@
 /// A server that receives requests from IsCutOff().
 class EndlessRequest : public testing::Test {
  protected:
-  auto Run(HttpServer::Options options, const std::string& part) -> bool {
+  auto Run(const HttpServer::Options& options, const std::string& part)
+      -> bool {
     HttpServer server(options, this->handler);
     FiberLoop loop;
     server.Listen(loop);
--- a/tests/platform_wire/forwarding_test.cc
+++ b/tests/platform_wire/forwarding_test.cc
@@ -442,11 +442,12 @@
         coding + "identity\r\n" + coding + "chunked\r\n",
         coding + "gzip, chunked\r\n"};
     for (const auto& fields : codings) {
-      const auto chunked_end = fields.find("chunked\r\n") != std::string::npos
-                                   ? std::string("0\r\n\r\n")
-                                   : std::string();
-      const auto answer =
-          this->fleet.SendRaw(outer + fields + "\r\n" + chunked_end + inner);
+      std::string bytes = outer;
+      bytes.append(fields).append("\r\n");
+      const bool is_chunked = fields.find("chunked\r\n") != std::string::npos;
+      if (is_chunked) bytes.append("0\r\n\r\n");
+      bytes.append(inner);
+      const auto answer = this->fleet.SendRaw(bytes);
       EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << fields;
       EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << fields;
     }
