--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -289,8 +290,7 @@
     http::request_parser<http::string_body>& parser) -> AwaitResult {
   const auto& options = this->server.options;
   // The framing of chunks does not count towards the parser's limit.
-  const auto max_bytes = kMaxEncodedLength * options.limits.body_bytes +
-                         options.limits.header_bytes;
+  const std::uint64_t max_trailer_bytes = options.limits.header_bytes;
   const auto read_until = std::chrono::steady_clock::now() + options.io_timeout;
   const ReadTimeout timeout(this->stream.socket(), options.io_timeout);
   AwaitResult result;
@@ -306,7 +306,10 @@
       http::async_read_some(this->stream, this->buffer, parser, handler);
     });
     bytes += result.bytes;
-    if (bytes > max_bytes) result.error = http::error::body_limit;
+    const auto chunk_bytes = bytes - std::min(bytes, max_trailer_bytes);
+    if (chunk_bytes / kMaxEncodedLength > options.limits.body_bytes) {
+      result.error = http::error::body_limit;
+    }
   }
   return result;
 }
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -1,6 +1,7 @@
 #include "router/server_attempt.h"
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 
 #include "core/events.h"
 
@@ -228,8 +229,10 @@
   const bool has_own_id =
       connection.Field(headers.request_id) == this->request.RequestId();
   const auto coding = connection.Field("Transfer-Encoding");
-  const bool is_unencoded = connection.Field("Content-Encoding").empty() &&
-                            (coding.empty() || coding == "chunked");
+  const bool is_unencoded =
+      connection.Field("Content-Encoding").empty() &&
+      (coding.empty() ||
+       boost::beast::iequals({coding.data(), coding.size()}, "chunked"));
   return is_sealed && has_own_id && is_unencoded;
 }
 
--- a/tests/platform_wire/faulty_response_test.cc
+++ b/tests/platform_wire/faulty_response_test.cc
@@ -377,6 +377,20 @@
   });
 }
 
+TEST_F(FaultyResponse, TheNameOfTheChunkedCodingHasNoCase) {
+  const auto script = [](ScriptedConnection& connection) {
+    while (connection.ReadRequest()) {
+      connection.Write(
+          Head("200 OK", connection.Header("X-Request-Id"),
+               std::string(kSealed) + "Transfer-Encoding: Chunked\r\n") +
+          "4\r\nbody\r\n0\r\n\r\n");
+    }
+  };
+  this->Run(script, [&] {
+    EXPECT_EQ(this->fleet.Send("/order/a", "id").result_int(), 200U);
+  });
+}
+
 // The header that names the coding is not relayed.
 TEST_F(FaultyResponse, AnEncodedBodyIsNoSuccess) {
   const auto script = [](ScriptedConnection& connection) {
