--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -125,6 +125,9 @@
   this->held.erase(id);
   if (this->clock.Now() < this->grace_period_end) {
     this->expired[id] = this->grace_period_end;
+    const auto kept_for = this->grace_period_end - this->clock.Now();
+    Log(events::kBackendKept,
+        {{"server", id.Value()}, {"kept_ms", Milliseconds(kept_for)}});
     return;
   }
   this->expired.erase(id);
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <ctime>
 
 namespace currantbeam {
@@ -11,6 +12,12 @@
                                           std::chrono::microseconds>;
 using Duration = std::chrono::microseconds;
 
+/// @return the whole milliseconds of a duration, as logged.
+inline auto Milliseconds(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 /// A source of monotonic time; tests replace it with a ManualClock.
 class Clock {
  public:
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -257,6 +257,9 @@
 auto ForwardedRequest::RunAttempt(BackendTarget& target) -> AttemptOutcome {
   this->tried_servers.push_back(target.entry.id);
   this->request.server = target.entry.id;
+  if (this->request.state.servers_status) {
+    this->request.servers_status = this->request.state.servers_status();
+  }
   ServerAttempt attempt(this->request, target);
   const auto outcome = attempt.Run();
   this->request.is_sent = false;
@@ -385,6 +388,7 @@
       {"sends", this->request.send_count},
       {"status", status},
       {"took_us", took.count()}};
+  this->request.AppendServersStatus(fields);
   if (const auto key = this->request.Key()) fields.emplace_back("key", *key);
   Log(events::kRouted, fields);
 }
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -124,7 +124,9 @@
     return true;
   } catch (const RequestError& error) {
     Log(events::kReportLost,
-        {{"keeper", FormatEndpoint(*endpoint)}, {"error", error.what()}});
+        {{"keeper", FormatEndpoint(*endpoint)},
+         {"took_us", (this->clock.Now() - sent_at).count()},
+         {"error", error.what()}});
   } catch (const InputError& error) {
     Log(events::kBadPeerMessage, {{"error", error.what()}});
   }
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -50,10 +50,11 @@
   /// The running attempt's connection; cancelled if the client disconnects.
   HttpConnection* upstream = nullptr;
   RequestPhase phase = RequestPhase::kConnecting;
-  ServerId server;            ///< The server of the last attempt.
-  int send_count = 0;         ///< Completed attempts that sent the request.
-  bool is_sent = false;       ///< The running attempt has begun to send it.
-  bool may_have_run = false;  ///< At the server of an earlier attempt.
+  ServerId server;             ///< The server of the last attempt.
+  TableStatus servers_status;  ///< When the last attempt's server was chosen.
+  int send_count = 0;          ///< Completed attempts that sent the request.
+  bool is_sent = false;        ///< The running attempt has begun to send it.
+  bool may_have_run = false;   ///< At the server of an earlier attempt.
   /// Not used by the attempts that follow.
   std::vector<RefusedConnection> refused_connections;
 
@@ -107,6 +108,14 @@
       this->exchange.Abort();
     }
   }
+  /// Appends what was known of the servers when the last one was chosen.
+  auto AppendServersStatus(std::vector<LogField>& fields) const -> void {
+    const auto& status = this->servers_status;
+    if (status.source == RowSource::kNone) return;
+    fields.emplace_back("servers_version", status.version.number);
+    fields.emplace_back("servers_age_us", status.age.count());
+    fields.emplace_back("servers_source", ToString(status.source));
+  }
   [[nodiscard]] auto RequestId() const -> std::string_view {
     return ToView(this->exchange.Request()[this->state.headers.request_id]);
   }
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -15,6 +16,7 @@
 #include "router/request_metrics.h"
 #include "router/route_table.h"
 #include "router/suspect_trials.h"
+#include "store/store.h"
 
 namespace currantbeam {
 
@@ -42,6 +44,8 @@
   RequestMetrics metrics;
   RequestQuarantine quarantine;
   EndedServerProbe ended_server_probe;
+  /// What is known of the table of backend servers; null in tests.
+  std::function<TableStatus()> servers_status;
   SuspectTrials* trials = nullptr;  ///< Null: suspect requests run at any time.
   ActiveRequests active_requests;
   StopSchedule stop;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -117,6 +117,9 @@
 
 auto RouterProcess::Run() -> void {
   this->state.trials = &this->peer_exchange;
+  this->state.servers_status = [this] {
+    return this->store.Status(this->dependencies.schema.BackendsTable());
+  };
   this->ApplyFleetSize();
   this->caller_server.Listen(this->loop);
   this->readiness_server.Listen(this->loop);
@@ -267,13 +270,17 @@
     gauges.routes_version = this->state.routes->Config().version;
     gauges.routes_age = now - this->routes_applied_at;
   }
-  gauges.table_ages = this->store.Ages();
+  for (const auto& table : {this->dependencies.schema.RoutesTable(),
+                            this->dependencies.schema.BackendsTable()}) {
+    gauges.table_ages.emplace(table, this->store.Status(table).age);
+  }
   gauges.servers = this->directory.All().size();
   gauges.hosts = this->fleet.Hosts(now);
   gauges.in_flight = this->caller_server.InFlight();
   gauges.dropped_log_lines = DroppedLogLines();
   AppendGauges(text, gauges);
   this->state.metrics.AppendTo(text);
+  this->store.Delays().AppendTo(text);
 }
 
 auto RouterProcess::ReadinessHandler::Handle(HttpExchange& exchange) -> void {
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -110,11 +110,13 @@
   } else {
     load.OnFailure(now);
   }
-  Log(events::kAttemptFailed, {{"request", this->request.RequestId()},
-                               {"server", this->target.entry.id.Value()},
-                               {"may_have_run", true},
-                               {"took_us", took.count()},
-                               {"error", error.what()}});
+  std::vector<LogField> fields = {{"request", this->request.RequestId()},
+                                  {"server", this->target.entry.id.Value()},
+                                  {"may_have_run", true},
+                                  {"took_us", took.count()},
+                                  {"error", error.what()}};
+  this->request.AppendServersStatus(fields);
+  Log(events::kAttemptFailed, fields);
   return AttemptOutcome::kMayHaveRun;
 }
 
--- a/src/store/circuit_breaker_store.cc
+++ b/src/store/circuit_breaker_store.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/events.h"
+
 namespace currantbeam {
 namespace {
 
@@ -15,7 +17,7 @@
 
 auto CircuitBreakerStore::Read(const std::string& table,
                                const std::string& partition) -> RowBatch {
-  return this->Guard([&] { return this->store.Read(table, partition); },
+  return this->Guard([&] { return this->store.Read(table, partition); }, table,
                      Duration(0));
 }
 
@@ -24,7 +26,7 @@
   // A probe must not wait for a change, as its response closes the breaker.
   const auto max_wait = this->IsOpen() ? std::chrono::milliseconds(0) : wait;
   return this->Guard([&] { return this->store.Follow(table, after, max_wait); },
-                     max_wait);
+                     table, max_wait);
 }
 
 auto CircuitBreakerStore::Write(const StoreWrite& write) -> WriteResult {
@@ -40,7 +42,8 @@
   return std::max(this->unreachable_at, this->probe_sent_at);
 }
 
-auto CircuitBreakerStore::Guard(const Call& call, Duration wait) -> RowBatch {
+auto CircuitBreakerStore::Guard(const Call& call, const std::string& table,
+                                Duration wait) -> RowBatch {
   const bool is_probe = this->IsOpen();
   if (is_probe &&
       (this->is_probing || this->clock.Now() < this->next_probe_at)) {
@@ -60,7 +63,12 @@
     if (is_probe) this->is_probing = false;
     this->OnResponse();
     throw;
-  } catch (const StoreError&) {
+  } catch (const StoreError& error) {
+    Log(events::kStoreCallFailed,
+        {{"table", table},
+         {"wait_ms", Milliseconds(wait)},
+         {"took_ms", Milliseconds(this->clock.Now() - sent_at)},
+         {"error", error.what()}});
     if (is_probe) this->is_probing = false;
     this->OnUnreachable(sent_at + wait);
     // Calls that were in flight when the breaker opened don't count again.
--- a/src/store/circuit_breaker_store.h
+++ b/src/store/circuit_breaker_store.h
@@ -34,9 +34,11 @@
   using Call = std::function<RowBatch()>;
 
   /// Makes the call unless the breaker is open.
+  /// @param table  named in the log.
   /// @param wait  how long the store may delay its response.
   /// @throws StoreError if the breaker is open or the call fails.
-  auto Guard(const Call& call, Duration wait) -> RowBatch;
+  auto Guard(const Call& call, const std::string& table, Duration wait)
+      -> RowBatch;
   [[nodiscard]] auto IsOpen() const -> bool {
     return this->interval != Duration(0);
   }
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/events.h"
 #include "runtime/runtime.h"
 
 namespace currantbeam {
@@ -24,6 +25,10 @@
 /// changes all the time would otherwise answer every poll at once.
 constexpr auto kMinStandaloneInterval = std::chrono::milliseconds(1000);
 
+/// A call for changes that is answered later than this has waited for them, so
+/// they were written right before the response. Only estimates depend on it.
+constexpr Duration kPromptResponseTime = std::chrono::milliseconds(100);
+
 /// Publishes a pointer to a timer during its lifetime, so that OnUpdates() can
 /// cancel the timer.
 class TimerRegistration {
@@ -65,7 +70,10 @@
   const auto deadline =
       std::max(this->clock.Now() + kSnapshotTimeout, this->election_deadline);
   while (!this->is_leader) {
+    const auto last_version = shared.table.LastVersion();
     if (auto snapshot = shared.table.TakeSnapshot(this->clock.Now())) {
+      this->OnReceived(shared, table, *snapshot, RowSource::kRelayedSnapshot,
+                       last_version);
       return std::move(*snapshot);
     }
     const auto remaining = deadline - this->clock.Now();
@@ -79,7 +87,18 @@
     -> RowBatch {
   const auto requested_at = this->clock.Now();
   auto batch = this->store.Read(table, "");
+  const auto last_version = shared.table.LastVersion();
+  const bool is_comparable =
+      last_version.number != 0 && last_version.epoch == batch.version.epoch;
+  if (is_comparable) {
+    const auto last_current_at = this->StoreTime(shared.table.AsOf());
+    for (auto& row : batch.rows) {
+      if (row.version > last_version) row.written_after = last_current_at;
+    }
+  }
+  this->store_clock_start = this->clock.Now() - batch.store_time;
   shared.table.OnRead(batch, requested_at);
+  this->OnReceived(shared, table, batch, RowSource::kRead, last_version);
   return batch;
 }
 
@@ -89,7 +108,10 @@
   if (it == this->tables.end()) return this->store.Follow(table, after, wait);
   auto& shared = it->second;
   while (!this->is_leader) {
+    const auto last_version = shared.table.LastVersion();
     if (auto changes = shared.table.TakeChanges(after)) {
+      this->OnReceived(shared, table, *changes, RowSource::kRelayed,
+                       last_version);
       return std::move(*changes);
     }
     const auto poll_at =
@@ -114,11 +136,20 @@
                                   std::chrono::milliseconds wait) -> RowBatch {
   const auto requested_at = this->clock.Now();
   auto batch = this->store.Follow(table, after, wait);
+  const auto received_at = this->clock.Now();
+  const auto last_current_at = this->StoreTime(shared.table.AsOf());
+  this->store_clock_start = received_at - batch.store_time;
+  const bool has_waited = received_at - requested_at > kPromptResponseTime;
+  for (auto& row : batch.rows) {
+    row.written_after = has_waited ? batch.store_time : last_current_at;
+  }
   // An empty response means that nothing changed until the wait had elapsed.
   const auto as_of = batch.rows.empty()
-                         ? std::min(this->clock.Now(), requested_at + wait)
+                         ? std::min(received_at, requested_at + wait)
                          : requested_at;
+  const auto last_version = shared.table.LastVersion();
   shared.table.OnFollowed(batch, as_of);
+  this->OnReceived(shared, table, batch, RowSource::kFollowed, last_version);
   if (!batch.rows.empty()) {
     shared.next_poll_at = this->clock.Now() + kMinStandaloneInterval;
   }
@@ -137,12 +168,47 @@
   return versions;
 }
 
-auto RelayedStore::Ages() const -> std::map<std::string, Duration> {
-  std::map<std::string, Duration> ages;
-  for (const auto& [name, shared] : this->tables) {
-    ages.emplace(name, this->clock.Now() - shared.table.AsOf());
+auto RelayedStore::Status(const std::string& table) const -> TableStatus {
+  const auto it = this->tables.find(table);
+  if (it == this->tables.end()) return {};
+  const auto& shared = it->second;
+  return {shared.table.Version(), this->clock.Now() - shared.table.AsOf(),
+          shared.source};
+}
+
+auto RelayedStore::StoreTime(TimePoint at) const -> Duration {
+  if (!this->store_clock_start) return Duration(0);
+  return std::max(at - *this->store_clock_start, Duration(0));
+}
+
+auto RelayedStore::OnReceived(SharedTable& shared, const std::string& table,
+                              const RowBatch& batch, RowSource source,
+                              StoreVersion last_version) -> void {
+  if (batch.rows.empty()) return;
+  shared.source = source;
+  const auto now = this->clock.Now();
+  const bool is_comparable =
+      last_version.number != 0 && last_version.epoch == batch.version.epoch;
+  int new_rows = 0;
+  Duration max_delay{0};
+  for (const auto& row : batch.rows) {
+    const bool is_new = is_comparable && row.version > last_version;
+    if (!is_new || row.written_after == Duration(0)) continue;
+    const auto delay =
+        std::max(this->StoreTime(now) - row.written_after, Duration(0));
+    this->delays.Record(table, source, delay);
+    max_delay = std::max(max_delay, delay);
+    ++new_rows;
   }
-  return ages;
+  Log(events::kTableUpdated,
+      {{"table", table},
+       {"source", ToString(source)},
+       {"rows", batch.rows.size()},
+       {"new_rows", new_rows},
+       {"store_version", batch.version.number},
+       {"store_epoch", batch.version.epoch},
+       {"age_ms", Milliseconds(now - shared.table.AsOf())},
+       {"max_delay_ms", Milliseconds(max_delay)}});
 }
 
 auto RelayedStore::UpdatesSince(
@@ -153,7 +219,9 @@
     const auto it = this->tables.find(name);
     if (it == this->tables.end()) continue;
     auto update = it->second.table.UpdateSince(version, this->clock.Now());
-    if (update) result.push_back(std::move(*update));
+    if (!update) continue;
+    update->store_time = this->StoreTime(this->clock.Now());
+    result.push_back(std::move(*update));
   }
   return result;
 }
@@ -165,6 +233,9 @@
     if (it == this->tables.end()) continue;
     auto& shared = it->second;
     const bool has_rows = !table_update.rows.empty() || table_update.is_full;
+    if (table_update.store_time != Duration(0)) {
+      this->store_clock_start = requested_at - table_update.store_time;
+    }
     shared.table.OnUpdate(std::move(table_update), requested_at);
     if (has_rows && shared.wait_timer != nullptr) shared.wait_timer->cancel();
   }
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -2,10 +2,12 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "store/relayed_table.h"
+#include "store/row_delays.h"
 #include "store/store_client.h"
 
 namespace currantbeam {
@@ -36,8 +38,10 @@
   /// @return the version of this host's copy of each shared table; 0 if it is
   ///   unknown.
   [[nodiscard]] auto Versions() const -> std::map<std::string, StoreVersion>;
-  /// @return how long ago each shared table was last known to be up to date.
-  [[nodiscard]] auto Ages() const -> std::map<std::string, Duration>;
+  /// @return what this host knows of the shared table.
+  [[nodiscard]] auto Status(const std::string& table) const -> TableStatus;
+  /// @return the delays of the rows that this host has received.
+  [[nodiscard]] auto Delays() const -> const RowDelays& { return this->delays; }
   /// @param versions  of the copies of another host, by table.
   /// @return the updates that bring those copies to this host's versions.
   ///   Tables that are unknown here are left out.
@@ -60,18 +64,29 @@
     boost::asio::steady_timer* wait_timer = nullptr;
     /// The earliest time of the next poll, unless this host is the leader.
     TimePoint next_poll_at{};
+    RowSource source = RowSource::kNone;  ///< Of the latest rows.
   };
 
   auto ReadDirectly(SharedTable& shared, const std::string& table) -> RowBatch;
   auto FollowDirectly(SharedTable& shared, const std::string& table,
                       StoreVersion after, std::chrono::milliseconds wait)
       -> RowBatch;
+  /// Records how and how late rows were received that this host did not have.
+  /// @param last_version  of the copy before; number 0 if there was none.
+  auto OnReceived(SharedTable& shared, const std::string& table,
+                  const RowBatch& batch, RowSource source,
+                  StoreVersion last_version) -> void;
+  /// @return the store's clock at this host's time; 0 if it is unknown.
+  [[nodiscard]] auto StoreTime(TimePoint at) const -> Duration;
 
   StoreClient& store;
   const Clock& clock;
   std::map<std::string, SharedTable> tables;
   TimePoint election_deadline;
   bool is_leader = false;
+  /// This host's time when the store's clock was 0; empty until it is known.
+  std::optional<TimePoint> store_clock_start;
+  RowDelays delays;
 };
 
 }  // namespace currantbeam
--- a/src/store/relayed_table.h
+++ b/src/store/relayed_table.h
@@ -53,8 +53,11 @@
   [[nodiscard]] auto Version() const -> StoreVersion { return this->version; }
   /// @return the latest time as of which the copy is known to be up to date.
   [[nodiscard]] auto AsOf() const -> TimePoint {
-    return std::max(this->as_of, this->relayed_as_of);
+    const bool is_behind = this->update && !this->update->rows.empty();
+    return is_behind ? this->as_of : std::max(this->as_of, this->relayed_as_of);
   }
+  /// @return the highest version that the copy has had; number 0 if none.
+  [[nodiscard]] auto LastVersion() const -> StoreVersion { return this->floor; }
   /// @param after  the version of the receiving host's copy; number 0 if it has
   ///   none.
   /// @return the rows with a higher version, or a snapshot if that version is
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -7,6 +7,8 @@
 #include "store/circuit_breaker_store.h"
 #include "store/memory_store.h"
 #include "store/relayed_store.h"
+#include "store/row_delays.h"
+#include "store/row_source.h"
 #include "store/store_client.h"
 #include "store/store_version.h"
 #include "store/table_follower.h"
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -34,6 +34,8 @@
   std::string value;  ///< Any bytes.
   StoreVersion version;
   bool is_deleted = false;  ///< Only in change feeds: a tombstone.
+  /// The row was written after this time of the store's clock; 0 if unknown.
+  Duration written_after{0};
 };
 
 /// A precondition of a write: the row has this version, or it does not exist if
--- a/src/store/table_update.cc
+++ b/src/store/table_update.cc
@@ -3,15 +3,29 @@
 #include "core/cbor.h"
 
 namespace currantbeam {
+namespace {
+
+/// Hosts of an older version send fewer fields, and ignore the ones that they
+/// don't know.
+constexpr std::size_t kStoreTimeField = 5;
+constexpr std::size_t kWrittenAfterField = 4;
+
+/// @return the field of the array; 0 if the sender doesn't know it.
+auto DurationAt(const nlohmann::json& json, std::size_t field) -> Duration {
+  if (json.size() <= field) return Duration(0);
+  return Duration(json.at(field).get<std::int64_t>());
+}
+
+}  // namespace
 
 auto TableUpdate::Encode() const -> std::string {
   auto rows = nlohmann::json::array();
   for (const auto& row : this->rows) {
-    rows.push_back(
-        {row.name.key, row.version, row.is_deleted, ToBinary(row.value)});
+    rows.push_back({row.name.key, row.version, row.is_deleted,
+                    ToBinary(row.value), row.written_after.count()});
   }
   return ToCbor({this->table, this->is_full, this->version, this->age.count(),
-                 std::move(rows)});
+                 std::move(rows), this->store_time.count()});
 }
 
 auto TableUpdate::Decode(const std::string& text) -> TableUpdate {
@@ -27,8 +41,10 @@
       row.version = item.at(1).get<StoreVersion>();
       row.is_deleted = item.at(2).get<bool>();
       row.value = FromBinary(item.at(3));
+      row.written_after = DurationAt(item, kWrittenAfterField);
       update.rows.push_back(std::move(row));
     }
+    update.store_time = DurationAt(json, kStoreTimeField);
     return update;
   });
 }
--- a/src/store/table_update.h
+++ b/src/store/table_update.h
@@ -15,6 +15,8 @@
   StoreVersion version;  ///< Rows are complete up to this version.
   /// Time since the sender's copy was last known to be up to date.
   Duration age{0};
+  /// The sender's estimate of the store's clock; 0 if it has none.
+  Duration store_time{0};
   std::vector<StoreRow> rows;
 
   /// @return the update in CBOR.
--- a/tests/store/relayed_store_test.cc
+++ b/tests/store/relayed_store_test.cc
@@ -120,6 +120,25 @@
   EXPECT_EQ(this->other.recording_store.reads, 0);
 }
 
+TEST_F(RelayedStoreTest, RecordsHowLateRowsComeBySource) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  this->leader.Step();
+  this->other.SyncFrom(this->leader, this->clock);
+  this->other.Step();
+  this->memory.Put({kTable, "", "a"}, "2");
+  this->clock.Advance(milliseconds(300));
+  this->leader.Step();
+  this->clock.Advance(milliseconds(400));
+  this->other.SyncFrom(this->leader, this->clock);
+  this->other.Step();
+  std::string text;
+  this->other.store.Delays().AppendTo(text);
+  const std::string labels = "{table=\"t\",source=\"relayed\"} ";
+  EXPECT_NE(text.find("seconds_count" + labels + "1\n"), std::string::npos);
+  EXPECT_NE(text.find("seconds_sum" + labels + "0.7"), std::string::npos);
+  EXPECT_EQ(this->other.store.Status(kTable).source, RowSource::kRelayed);
+}
+
 TEST_F(RelayedStoreTest, ReadsTheStoreIfTheLeaderStopsSendingUpdates) {
   this->memory.Put({kTable, "", "a"}, "1");
   this->leader.Step();
