--- a/src/store/memory_store.cc
+++ b/src/store/memory_store.cc
@@ -59,10 +59,10 @@
                          std::chrono::milliseconds /*wait*/) -> RowBatch {
   this->CheckAvailable();
   if (after < this->state.history_start) {
-    throw HistoryLost("history was dropped");
+    throw HistoryLost("history was dropped", this->Epoch());
   }
   if (after > this->state.version || after.epoch != this->Epoch()) {
-    throw HistoryLost("the version was lost in a restore");
+    throw HistoryLost("the version was lost in a restore", this->Epoch());
   }
   RowBatch batch;
   for (const auto& [id, row] : this->state.rows) {
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -66,15 +66,16 @@
     return this->store.Read(table, partition);
   }
   auto& shared = it->second;
-  shared.table.Invalidate();
   const auto deadline =
       std::max(this->clock.Now() + kSnapshotTimeout, this->election_deadline);
   while (!this->is_leader) {
     const auto last_version = shared.table.LastVersion();
-    if (auto snapshot = shared.table.TakeSnapshot(this->clock.Now())) {
-      this->OnReceived(shared, table, *snapshot, RowSource::kRelayedSnapshot,
-                       last_version);
-      return std::move(*snapshot);
+    const auto source = shared.table.HasPendingSnapshot()
+                            ? RowSource::kRelayedSnapshot
+                            : RowSource::kRelayed;
+    if (auto rows = shared.table.TakeTable(this->clock.Now())) {
+      this->OnReceived(shared, table, *rows, source, last_version);
+      return std::move(*rows);
     }
     const auto remaining = deadline - this->clock.Now();
     if (remaining <= Duration(0)) break;
@@ -127,7 +128,8 @@
   } catch (const StoreError&) {
     // The leader reaches the store, and its snapshot is newer than this copy.
     if (!shared.table.HasPendingSnapshot()) throw;
-    throw HistoryLost("the store failed, but the leader sent a snapshot");
+    throw HistoryLost("the store failed, but the leader sent a snapshot",
+                      shared.table.LastVersion().epoch);
   }
 }
 
@@ -135,7 +137,13 @@
                                   StoreVersion after,
                                   std::chrono::milliseconds wait) -> RowBatch {
   const auto requested_at = this->clock.Now();
-  auto batch = this->store.Follow(table, after, wait);
+  RowBatch batch;
+  try {
+    batch = this->store.Follow(table, after, wait);
+  } catch (const HistoryLost& lost) {
+    if (lost.Epoch() != after.epoch) shared.table.Invalidate();
+    throw;
+  }
   const auto received_at = this->clock.Now();
   const auto last_current_at = this->StoreTime(shared.table.AsOf());
   this->store_clock_start = received_at - batch.store_time;
--- a/src/store/relayed_table.cc
+++ b/src/store/relayed_table.cc
@@ -1,6 +1,7 @@
 #include "store/relayed_table.h"
 
 #include <algorithm>
+#include <set>
 
 namespace currantbeam {
 namespace {
@@ -12,6 +13,8 @@
 /// live rows, and a number that is always kept.
 constexpr std::size_t kMaxTombstonesPerRow = 2;
 constexpr std::size_t kMinTombstoneLimit = 64;
+/// Gaps in the history that are remembered, before the history is cut short.
+constexpr std::size_t kMaxGaps = 16;
 
 }  // namespace
 
@@ -35,14 +38,29 @@
   this->update = std::move(update);
 }
 
-auto RelayedTable::TakeSnapshot(TimePoint now) -> std::optional<RowBatch> {
+auto RelayedTable::TakeTable(TimePoint now) -> std::optional<RowBatch> {
   const bool is_old = now >= this->relayed_as_of + kMaxUpdateAge;
-  if (!this->update || !this->update->is_full || is_old) return std::nullopt;
+  if (!this->update || is_old) return std::nullopt;
+  const bool is_full = this->update->is_full;
+  if (!is_full && this->version.number == 0) return std::nullopt;
   RowBatch batch;
   batch.rows = std::move(this->update->rows);
   batch.version = this->update->version;
   this->update.reset();
-  this->OnRead(batch, this->relayed_as_of);
+  if (is_full) {
+    this->OnRead(batch, this->relayed_as_of);
+  } else {
+    this->OnFollowed(batch, this->relayed_as_of);
+  }
+  return this->LiveRows();
+}
+
+auto RelayedTable::LiveRows() const -> RowBatch {
+  RowBatch batch;
+  batch.version = this->version;
+  for (const auto& [key, row] : this->rows) {
+    if (!row.is_deleted) batch.rows.push_back(row);
+  }
   return batch;
 }
 
@@ -76,7 +94,7 @@
   if (this->version.number == 0) return std::nullopt;
   TableUpdate update;
   update.table = this->table;
-  update.is_full = after.number == 0 || after < this->history_start;
+  update.is_full = !this->HasHistorySince(after);
   update.version = this->version;
   update.age = now - this->as_of;
   for (const auto& [key, row] : this->rows) {
@@ -88,10 +106,47 @@
 }
 
 auto RelayedTable::Replace(const RowBatch& batch) -> void {
+  const bool is_successor = this->floor.number != 0 &&
+                            this->floor.epoch == batch.version.epoch &&
+                            this->floor <= batch.version;
+  if (is_successor) {
+    this->AddGap(this->floor, batch.version);
+    this->DeleteMissingRows(batch);
+    this->Merge(batch);
+    return;
+  }
   this->rows.clear();
   for (const auto& row : batch.rows) this->rows[row.name.key] = row;
   this->version = batch.version;
   this->history_start = batch.version;
+  this->gaps.clear();
+}
+
+auto RelayedTable::HasHistorySince(StoreVersion after) const -> bool {
+  if (after.number == 0 || after < this->history_start) return false;
+  return std::none_of(
+      this->gaps.begin(), this->gaps.end(),
+      [&](const Gap& gap) { return gap.last < after && after < gap.next; });
+}
+
+auto RelayedTable::AddGap(StoreVersion last, StoreVersion next) -> void {
+  this->gaps.push_back({last, next});
+  if (this->gaps.size() <= kMaxGaps) return;
+  this->history_start = std::max(this->history_start, this->gaps.front().next);
+  this->gaps.erase(this->gaps.begin());
+}
+
+auto RelayedTable::DeleteMissingRows(const RowBatch& whole_table) -> void {
+  std::set<std::string> present;
+  for (const auto& row : whole_table.rows) present.insert(row.name.key);
+  for (auto& [key, row] : this->rows) {
+    if (row.is_deleted || present.count(key) != 0) continue;
+    row.value.clear();
+    row.is_deleted = true;
+    row.written_after = Duration(0);
+    // The deletion was at this version or an earlier one.
+    row.version = whole_table.version;
+  }
 }
 
 auto RelayedTable::Merge(const RowBatch& batch) -> void {
--- a/src/store/relayed_table.h
+++ b/src/store/relayed_table.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "store/table_update.h"
 
@@ -17,7 +18,8 @@
  public:
   explicit RelayedTable(std::string table) : table(std::move(table)) {}
 
-  /// Replaces the copy with the whole table.
+  /// Replaces the copy with the whole table. Rows that are gone count as
+  /// deleted, so that hosts with an older copy still need only the changes.
   /// @param as_of  the rows are those of the store at this time or later.
   auto OnRead(const RowBatch& batch, TimePoint as_of) -> void;
   /// Applies the changes since the copy's version.
@@ -28,21 +30,20 @@
   /// @param requested_at  when this host sent the request for the update.
   auto OnUpdate(TableUpdate update, TimePoint requested_at) -> void;
 
-  /// Applies the pending snapshot.
-  /// @return the whole table; empty if there is no pending snapshot or the
-  ///   latest update received is too old.
-  auto TakeSnapshot(TimePoint now) -> std::optional<RowBatch>;
+  /// Applies the pending update.
+  /// @return the whole table; empty if there is no pending update that makes
+  ///   the copy complete, or the latest one received is too old.
+  auto TakeTable(TimePoint now) -> std::optional<RowBatch>;
   /// Applies the pending update of changes.
   /// @param after  only rows with a higher version are returned.
   /// @return the changed rows; empty if there are none, or no pending update of
   ///   changes.
   auto TakeChanges(StoreVersion after) -> std::optional<RowBatch>;
-  /// Marks the copy as unknown until the whole table is read again. A pending
+  /// Marks the copy as unknown until the whole table is received. A pending
   /// update is discarded unless it is a snapshot.
   auto Invalidate() -> void;
 
-  /// @return whether a snapshot was received that TakeSnapshot() has not
-  /// applied.
+  /// @return whether a snapshot was received that TakeTable() has not applied.
   [[nodiscard]] auto HasPendingSnapshot() const -> bool {
     return this->update && this->update->is_full;
   }
@@ -69,6 +70,15 @@
 
  private:
   auto Replace(const RowBatch& batch) -> void;
+  /// @return whether the changes since this version are known.
+  [[nodiscard]] auto HasHistorySince(StoreVersion after) const -> bool;
+  /// Records that the changes after `last`, up to `next`, are not known: rows
+  /// may have been added and deleted.
+  auto AddGap(StoreVersion last, StoreVersion next) -> void;
+  /// Marks the rows of the copy that the whole table lacks as deleted.
+  auto DeleteMissingRows(const RowBatch& whole_table) -> void;
+  /// @return the whole table, without tombstones.
+  [[nodiscard]] auto LiveRows() const -> RowBatch;
   auto Merge(const RowBatch& batch) -> void;
   /// Discards the pending update if the copy has had a higher version.
   auto DropStaleUpdate() -> void;
@@ -77,10 +87,19 @@
 
   std::string table;
   std::map<std::string, StoreRow> rows;  ///< By key; includes tombstones.
-  /// Tombstones of all deletions after this version are kept.
+  /// A step of the copy from one version to another without the changes
+  /// between.
+  struct Gap {
+    StoreVersion last;
+    StoreVersion next;
+  };
+
+  /// Tombstones of all deletions after this version are kept, but for those in
+  /// the gaps.
   StoreVersion history_start;
-  StoreVersion version;  ///< Number 0 while the copy is unknown.
-  StoreVersion floor;    ///< Highest version ever; older updates are ignored.
+  std::vector<Gap> gaps;  ///< After `history_start`, in their order.
+  StoreVersion version;   ///< Number 0 while the copy is unknown.
+  StoreVersion floor;     ///< Highest version ever; older updates are ignored.
   TimePoint as_of{};
   std::optional<TableUpdate> update;  ///< Received but not yet applied.
   TimePoint relayed_as_of{};  ///< Like `as_of`, by the updates received.
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -19,7 +19,14 @@
 /// rolled back since; the table has to be read again.
 class HistoryLost : public StoreError {
  public:
-  using StoreError::StoreError;
+  /// @param epoch  the store's epoch, as far as the caller knows it.
+  HistoryLost(const std::string& what, StoreEpoch epoch)
+      : StoreError(what), epoch(epoch) {}
+  /// @return the epoch of the store; versions of other epochs are void.
+  [[nodiscard]] auto Epoch() const -> StoreEpoch { return this->epoch; }
+
+ private:
+  StoreEpoch epoch;
 };
 
 /// Identifies a row. All rows of a transaction are in one partition.
--- a/tests/store/relayed_store_test.cc
+++ b/tests/store/relayed_store_test.cc
@@ -198,6 +198,55 @@
   EXPECT_EQ(this->other.recorder.rows.size(), 1U);
 }
 
+// Whole tables for all hosts of a large fleet take the leader seconds to send,
+// in which it is late itself.
+TEST_F(RelayedStoreTest, SendsOnlyTheChangesAfterTheStoreDroppedItsHistory) {
+  for (const auto* key : {"a", "b", "c", "d"}) {
+    this->memory.Put({kTable, "", key}, "1");
+  }
+  this->leader.Step();
+  this->other.SyncFrom(this->leader, this->clock);
+  this->other.Step();
+  this->memory.Put({kTable, "", "b"}, "2");
+  this->memory.Remove({kTable, "", "a"});
+  this->memory.DropHistory();
+  for (int i = 0; i < 2; ++i) this->leader.Step();
+  const auto updates =
+      this->leader.store.UpdatesSince(this->other.store.Versions());
+  ASSERT_EQ(updates.size(), 1U);
+  EXPECT_FALSE(updates[0].is_full);
+  EXPECT_EQ(updates[0].rows.size(), 2U);
+  this->other.SyncFrom(this->leader, this->clock);
+  this->other.Step();
+  EXPECT_EQ(this->other.recorder.rows, this->leader.recorder.rows);
+  EXPECT_EQ(this->other.recorder.rows.size(), 3U);
+}
+
+TEST_F(RelayedStoreTest, NeedsNoWholeTableAfterTheStoreDroppedItsHistory) {
+  for (const auto* key : {"a", "b", "c"}) {
+    this->memory.Put({kTable, "", key}, "1");
+  }
+  this->leader.Step();
+  this->other.SyncFrom(this->leader, this->clock);
+  this->other.Step();
+  const auto version = this->other.store.Versions().at(kTable);
+  this->memory.Put({kTable, "", "b"}, "2");
+  this->memory.Remove({kTable, "", "a"});
+  this->memory.DropHistory();
+  this->clock.Advance(std::chrono::seconds(2));
+  this->other.Step();
+  for (int i = 0; i < 2; ++i) this->leader.Step();
+  this->other.recording_store.reads = 0;
+  this->other.store.on_wait = [&] {
+    EXPECT_EQ(this->other.store.Versions().at(kTable), version);
+    this->other.SyncFrom(this->leader, this->clock);
+  };
+  this->other.Step();
+  EXPECT_EQ(this->other.recording_store.reads, 0);
+  EXPECT_EQ(this->other.recorder.rows, this->leader.recorder.rows);
+  EXPECT_EQ(this->other.recorder.rows.size(), 2U);
+}
+
 TEST_F(RelayedStoreTest, RejectsASnapshotFromALeaderThatLostTheStore) {
   this->memory.Put({kTable, "", "a"}, "1");
   this->leader.Step();
