--- a/src/store/circuit_breaker_store.cc
+++ b/src/store/circuit_breaker_store.cc
@@ -70,15 +70,19 @@
          {"took_ms", Milliseconds(this->clock.Now() - sent_at)},
          {"error", error.what()}});
     if (is_probe) this->is_probing = false;
-    this->OnUnreachable(sent_at + wait);
+    this->OnUnreachable(sent_at, wait);
     // Calls that were in flight when the breaker opened don't count again.
     if (is_probe || !this->IsOpen()) this->OnFailure(sent_at);
     throw;
   }
 }
 
-auto CircuitBreakerStore::OnUnreachable(TimePoint response_due_at) -> void {
-  const auto at = std::min(response_due_at, this->clock.Now());
+auto CircuitBreakerStore::OnUnreachable(TimePoint sent_at, Duration wait)
+    -> void {
+  const auto now = this->clock.Now();
+  // A call that failed before its response was due shows when the store was
+  // unreachable. The response to any other call may have been lost at any time.
+  const auto at = now < sent_at + wait ? now : sent_at;
   this->unreachable_at = std::max(this->unreachable_at, at);
 }
 
--- a/src/store/circuit_breaker_store.h
+++ b/src/store/circuit_breaker_store.h
@@ -26,8 +26,8 @@
   auto Write(const StoreWrite& write) -> WriteResult override;
 
   /// @return the latest time at which the store is known to have been
-  ///   unreachable: a read that failed was sent then, or the change that it
-  ///   waited for was due at the latest. The zero time point if none failed.
+  ///   unreachable: a read that got no response was sent then, or a read failed
+  ///   before its response was due. The zero time point if none failed.
   [[nodiscard]] auto UnreachableAt() const -> TimePoint;
 
  private:
@@ -45,7 +45,9 @@
   auto OnResponse() -> void { this->interval = Duration(0); }
   /// @param sent_at  when the failed call was sent.
   auto OnFailure(TimePoint sent_at) -> void;
-  auto OnUnreachable(TimePoint response_due_at) -> void;
+  /// @param sent_at  when the failed call was sent.
+  /// @param wait  how long the store could delay its response.
+  auto OnUnreachable(TimePoint sent_at, Duration wait) -> void;
 
   StoreClient& store;
   const Clock& clock;
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -18,8 +18,10 @@
 /// the age of its copy.
 constexpr auto kLeaderPollWait = std::chrono::milliseconds(500);
 /// A host without updates from the leader polls the store for this long before
-/// it checks for updates again.
-constexpr auto kStandaloneWait = std::chrono::milliseconds(2000);
+/// it checks for updates again. If the response is lost, the host has the
+/// changes after this and kFollowTimeoutMargin, within the two seconds in which
+/// servers that leave still take requests.
+constexpr auto kStandaloneWait = std::chrono::milliseconds(1000);
 /// Minimum time between a poll that returned changes and the next one of a host
 /// without updates. All hosts poll while there is no leader, and a table that
 /// changes all the time would otherwise answer every poll at once.
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -83,6 +83,10 @@
   Duration store_time{0};  ///< The store's steady clock.
 };
 
+/// How much longer than the wait it asks for a call for changes may take; after
+/// that it fails.
+constexpr auto kFollowTimeoutMargin = std::chrono::milliseconds(800);
+
 /// A client of the store: tables of versioned rows with conditional
 /// transactions and change feeds. Call from a fiber.
 class StoreClient {
--- a/tests/router/store_listeners_test.cc
+++ b/tests/router/store_listeners_test.cc
@@ -269,7 +269,6 @@
 class UnreachableStore : public StoreClient {
  public:
   static constexpr Duration kReadTimeout = milliseconds(1000);
-  static constexpr Duration kFeedTimeoutMargin = milliseconds(1200);
 
   UnreachableStore(StoreClient& store, ManualClock& clock, bool times_out)
       : store(store), clock(clock), times_out(times_out) {}
@@ -281,7 +280,7 @@
   }
   auto Follow(const std::string& table, StoreVersion after,
               std::chrono::milliseconds wait) -> RowBatch override {
-    this->FailIfUnreachable(wait + kFeedTimeoutMargin);
+    this->FailIfUnreachable(wait + kFollowTimeoutMargin);
     return this->store.Follow(table, after, wait);
   }
   auto Write(const StoreWrite& write) -> WriteResult override {
@@ -305,8 +304,12 @@
 /// A host that follows the backends table through its circuit breaker.
 class OutageSimulation {
  public:
-  explicit OutageSimulation(bool times_out)
-      : unreachable_store(this->memory, this->clock, times_out) {
+  /// @param times_out  whether calls during the outage end by their timeout.
+  /// @param wait  how long the store may delay its response.
+  explicit OutageSimulation(bool times_out,
+                            milliseconds wait = FollowOptions().wait)
+      : unreachable_store(this->memory, this->clock, times_out),
+        options{"backends", "", wait} {
     this->memory.Put(this->row, "1");
     this->follower.Step();
   }
@@ -357,7 +360,7 @@
   BackendDirectory directory{this->clock};
   BackendsListener listener{this->schema, this->directory,
                             [this] { return this->breaker.UnreachableAt(); }};
-  FollowOptions options{"backends"};
+  FollowOptions options;
   TableFollower follower{this->breaker, this->options, this->listener};
   TimePoint outage_end{};
   TimePoint next_step_at{};
@@ -376,6 +379,17 @@
   EXPECT_LT(std::chrono::duration_cast<milliseconds>(longest).count(), 3000);
 }
 
+TEST(BackendsListener, ServerThatLeftDuringAShortPartitionIsRemovedInTime) {
+  Duration longest{0};
+  for (Duration length = milliseconds(100); length < seconds(4);
+       length += milliseconds(10)) {
+    OutageSimulation simulation(true, milliseconds(1000));
+    simulation.RemoveDuringOutage(length);
+    longest = std::max(longest, simulation.RunUntilRemoved());
+  }
+  EXPECT_LT(std::chrono::duration_cast<milliseconds>(longest).count(), 3000);
+}
+
 TEST(BackendsListener, ServerThatReturnsAfterAStoreOutageIsKept) {
   for (Duration length = seconds(3); length < seconds(5);
        length += milliseconds(10)) {
--- a/tests/store/recording_store.h
+++ b/tests/store/recording_store.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+
 #include "store/store.h"
 
 namespace currantbeam {
@@ -18,6 +20,7 @@
               std::chrono::milliseconds wait) -> RowBatch override {
     ++this->reads;
     this->last_wait = wait;
+    if (this->on_follow) this->on_follow();
     return this->store.Follow(table, after, wait);
   }
   auto Write(const StoreWrite& write) -> WriteResult override {
@@ -26,6 +29,7 @@
 
   int reads = 0;  ///< Number of Read() and Follow() calls.
   std::chrono::milliseconds last_wait{0};
+  std::function<void()> on_follow;  ///< Called first by Follow().
 
  private:
   MemoryStore& store;
--- a/tests/store/relayed_store_test.cc
+++ b/tests/store/relayed_store_test.cc
@@ -415,6 +415,42 @@
   EXPECT_LE(this->other.recording_store.reads, 11);
 }
 
+/// A row is written while the store waits for changes to tell the host, and the
+/// response is lost.
+/// @return how long after the write the host has the row.
+auto DelayAfterALostResponse(Host& host, MemoryStore& memory,
+                             ManualClock& clock) -> Duration {
+  auto& store = host.recording_store;
+  TimePoint written_at;
+  bool is_lost = false;
+  store.on_follow = [&] {
+    if (is_lost) return;
+    is_lost = true;
+    memory.Put({kTable, "", "a"}, "2");
+    written_at = clock.Now();
+    clock.Advance(store.last_wait + kFollowTimeoutMargin);
+    throw StoreError("no response");
+  };
+  while (host.recorder.rows.at("a") != "2") {
+    clock.Advance(host.follower.Step());
+  }
+  store.on_follow = nullptr;
+  return clock.Now() - written_at;
+}
+
+TEST_F(RelayedStoreTest, UsesARowWithinTwoSecondsAfterALostResponse) {
+  this->memory.Put({kTable, "", "a"}, "1");
+  for (auto* host : {&this->leader, &this->other}) host->Step();
+  for (auto* host : {&this->leader, &this->other}) {
+    const auto delay =
+        DelayAfterALostResponse(*host, this->memory, this->clock);
+    EXPECT_LT(delay, milliseconds(2000));
+    this->memory.Put({kTable, "", "a"}, "1");
+    this->clock.Advance(std::chrono::seconds(2));
+    this->other.Step();
+  }
+}
+
 TEST_F(RelayedStoreTest, RejectsMalformedUpdates) {
   EXPECT_THROW(TableUpdate::Decode(""), InputError);
   EXPECT_THROW(TableUpdate::Decode("x"), InputError);
