--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -137,6 +137,7 @@
                               std::chrono::milliseconds timeout)
     -> const http::response_header<>& {
   auto& parser = this->parser_state->parser.emplace();
+  this->body_bytes_received = 0;
   // LimitBody() limits the body; the parser would not count its framing.
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   if (is_head_request) parser.skip(true);
@@ -218,9 +219,12 @@
     if (result.error && !buffer_full) {
       this->connected = false;
       throw RequestError(Verdict::kMayHaveRun,
-                         "answer cut short: " + result.error.message());
+                         "answer cut short after " +
+                             std::to_string(this->body_bytes_received) +
+                             " bytes: " + result.error.message());
     }
     const auto length = chunk.size() - body.size;
+    this->body_bytes_received += length;
     if (length != 0) return {chunk.data(), length};
   }
   return {};
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -132,6 +132,7 @@
   bool has_sent_request = false;
   bool has_acknowledgement_timeout = false;
   std::uint64_t body_bytes_left = kMaxRelayedBodyBytes;
+  std::uint64_t body_bytes_received = 0;  ///< Of the current response.
   ConnectionNumber number = 0;
 };
 
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -141,8 +141,10 @@
     this->RunPeriodicTasks();
   });
   this->loop.Spawn([this] { this->RunQuarantineStore(); });
-  Log(events::kProcessStarted,
-      {{"version", kVersion}, {"domain", this->settings.domain.Value()}});
+  Log(events::kProcessStarted, {{"version", kVersion},
+                                {"domain", this->settings.domain.Value()},
+                                {"cpu_cores", this->settings.cpu_cores},
+                                {"link_mbps", this->settings.link_mbps}});
   this->loop.Run();
   Log(events::kProcessStopped);
   FlushLog();
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -193,8 +193,10 @@
   const bool is_comparable =
       last_version.number != 0 && last_version.epoch == batch.version.epoch;
   int new_rows = 0;
+  std::size_t bytes = 0;
   Duration max_delay{0};
   for (const auto& row : batch.rows) {
+    bytes += row.value.size();
     const bool is_new = is_comparable && row.version > last_version;
     if (!is_new || row.written_after == Duration(0)) continue;
     const auto delay = std::max(
@@ -208,6 +210,7 @@
        {"source", ToString(source)},
        {"rows", batch.rows.size()},
        {"new_rows", new_rows},
+       {"bytes", bytes},
        {"store_version", batch.version.number},
        {"store_epoch", batch.version.epoch},
        {"age_ms", Milliseconds(now - shared.table.AsOf())},
