--- a/tests/router/fleet_simulation.cc
+++ b/tests/router/fleet_simulation.cc
@@ -21,7 +21,14 @@
 const char* const kRoutes = "routes";
 const char* const kBackends = "backends";
 
-/// Rows of backends are "ready" or "draining"; those of routes hold a version.
+/// @return what a host reports as used: of routes their version.
+auto UsedValue(const std::string& table, const std::string& value)
+    -> std::string {
+  return table == kRoutes ? std::to_string(std::stoull(value)) : value;
+}
+
+/// Rows of backends are "ready" or "draining"; those of routes begin with a
+/// version.
 class FleetSchema : public StoreSchema {
  public:
   [[nodiscard]] auto RoutesTable() const -> std::string override {
@@ -44,6 +51,21 @@
   }
 };
 
+/// @return the bytes of a row with this value in a response of the store, which
+///   encodes it in base64.
+auto StoreRowBytes(const std::string& value) -> std::size_t {
+  constexpr std::size_t kOtherBytes = 100;
+  return kOtherBytes + value.size() * 4 / 3;
+}
+
+/// @return the bytes of a message between hosts with these rows.
+auto MessageBytes(const std::vector<StoreRow>& rows) -> std::size_t {
+  constexpr std::size_t kBytesPerRow = 50;
+  std::size_t bytes = 0;
+  for (const auto& row : rows) bytes += kBytesPerRow + row.value.size();
+  return bytes;
+}
+
 class NoServers : public GrantClient {
  public:
   auto Grant(const GrantCall& /*call*/) -> GrantResult override { return {}; }
@@ -59,13 +81,18 @@
 /// A host's connection to the store.
 class FleetSimulation::Link : public StoreClient {
  public:
-  explicit Link(FleetSimulation& fleet) : fleet(fleet) {}
+  Link(FleetSimulation& fleet, SimulatedLink& network)
+      : fleet(fleet), network(network) {}
 
   auto Read(const std::string& table, const std::string& partition)
       -> RowBatch override {
+    const auto deadline = this->fleet.clock.Now() + kReadTimeout;
     this->Begin(kReadTimeout);
     auto batch = this->fleet.memory.Read(table, partition);
     this->End(kReadTimeout);
+    std::size_t bytes = 0;
+    for (const auto& row : batch.rows) bytes += StoreRowBytes(row.value);
+    this->Receive(bytes, deadline);
     return batch;
   }
   auto Follow(const std::string& table, StoreVersion after, milliseconds wait)
@@ -80,8 +107,13 @@
       batch = this->fleet.memory.Follow(table, after, wait);
     }
     this->End(timeout);
+    this->Receive(this->fleet.FeedBytes(table, after),
+                  deadline + kFollowTimeoutMargin);
     return batch;
   }
+  [[nodiscard]] auto IsReceiving() const -> bool override {
+    return this->arriving_responses != 0;
+  }
   auto Write(const StoreWrite& write) -> WriteResult override {
     try {
       this->Begin(kWriteTimeout);
@@ -116,6 +148,13 @@
     SleepFor(timeout);
     throw StoreError("lost");
   }
+  auto Receive(std::size_t bytes, TimePoint deadline) -> void {
+    ++this->arriving_responses;
+    const bool is_complete = Transfer(this->fleet.clock, this->fleet.store_link,
+                                      this->network, bytes, deadline);
+    --this->arriving_responses;
+    if (!is_complete) throw ResponseCutShort("cut short");
+  }
   auto FailIfCut(Duration timeout) const -> void {
     if (this->access == StoreAccess::kRejected) throw StoreError("rejected");
     if (this->access != StoreAccess::kSilent) return;
@@ -124,12 +163,15 @@
   }
 
   FleetSimulation& fleet;
+  SimulatedLink& network;
+  int arriving_responses = 0;
 };
 
 /// Carries a host's reads to other hosts.
 class FleetSimulation::Mail : public PeerLink {
  public:
-  explicit Mail(FleetSimulation& fleet) : fleet(fleet) {}
+  Mail(FleetSimulation& fleet, SimulatedLink& network)
+      : fleet(fleet), network(network) {}
 
   auto Send(const std::string& endpoint, const StoreReadRequest& request,
             milliseconds timeout) -> RowBatch override;
@@ -138,6 +180,7 @@
 
  private:
   FleetSimulation& fleet;
+  SimulatedLink& network;
 };
 
 class FleetSimulation::Host {
@@ -145,9 +188,10 @@
   Host(FleetSimulation& fleet, int index)
       : fleet(fleet),
         index(index),
-        link(fleet),
+        network(fleet.clock, 0),
+        link(fleet, this->network),
         endpoint("host:" + std::to_string(index)),
-        mail(fleet) {}
+        mail(fleet, this->network) {}
 
   auto Start() -> void {
     auto& loop = FiberLoop::Current();
@@ -162,6 +206,7 @@
   int index;
   bool is_stopped = false;
   bool is_isolated = false;
+  SimulatedLink network;
   Link link;
   std::string endpoint;
   Mail mail;
@@ -219,6 +264,12 @@
     other->hosts.Add(this->endpoint);
     auto updates = other->store.UpdatesSince(this->store.Versions());
     const auto named = other->hosts.Choose(kHostsPerReply);
+    std::size_t bytes = 0;
+    for (const auto& update : updates) bytes += MessageBytes(update.rows);
+    const bool is_complete =
+        Transfer(this->fleet.clock, other->network, this->network, bytes,
+                 sent_at + kReportTimeout);
+    if (!is_complete) return false;
     SleepFor(kMessageTime);
     for (const auto& host : named) this->hosts.Add(host);
     this->store.OnUpdates(std::move(updates), sent_at);
@@ -325,7 +376,11 @@
   response.WaitFor(clock, deadline - clock.Now());
   SleepFor(kMessageTime);
   if (!response.IsOver()) throw StoreError("no response in time");
-  return response.Take();
+  auto batch = response.Take();
+  const bool is_complete = Transfer(clock, host->network, this->network,
+                                    MessageBytes(batch.rows), deadline);
+  if (!is_complete) throw StoreError("cut short");
+  return batch;
 }
 
 FleetSimulation::FleetSimulation(int hosts, unsigned seed) : random(seed) {
@@ -358,10 +413,22 @@
 auto FleetSimulation::Put(const std::string& table, const std::string& key,
                           const std::string& value) -> void {
   this->memory.Put({table, "", key}, value);
-  this->changes.push_back({table, key, value, this->clock.Now(), {}});
+  const auto version = this->memory.Find({table, "", key})->version;
+  this->written_rows.push_back({table, version, StoreRowBytes(value)});
+  this->changes.push_back(
+      {table, key, UsedValue(table, value), this->clock.Now(), {}});
   this->has_changed.Notify();
 }
 
+auto FleetSimulation::FeedBytes(const std::string& table,
+                                StoreVersion after) const -> std::size_t {
+  std::size_t bytes = 0;
+  for (const auto& row : this->written_rows) {
+    if (row.table == table && row.version > after) bytes += row.bytes;
+  }
+  return bytes;
+}
+
 auto FleetSimulation::Remove(const std::string& table, const std::string& key)
     -> void {
   this->memory.Remove({table, "", key});
@@ -384,6 +451,10 @@
   this->hosts.at(static_cast<std::size_t>(host))->link.loses_next = true;
 }
 
+auto FleetSimulation::SetBandwidth(int host, double mbps) -> void {
+  this->hosts.at(static_cast<std::size_t>(host))->network.SetBandwidth(mbps);
+}
+
 auto FleetSimulation::Isolate(int host, bool is_isolated) -> void {
   auto& isolated = *this->hosts.at(static_cast<std::size_t>(host));
   isolated.is_isolated = is_isolated;
--- a/tests/router/fleet_simulation.h
+++ b/tests/router/fleet_simulation.h
@@ -9,6 +9,7 @@
 
 #include "keys/keys.h"
 #include "router/router.h"
+#include "router/simulated_link.h"
 #include "router/store_listeners.h"
 #include "store/store.h"
 
@@ -43,6 +44,8 @@
   auto SetAccess(int host, StoreAccess access) -> void;
   /// The response to the host's next call to the store is lost.
   auto LoseNextResponse(int host) -> void;
+  /// Sets the bandwidth of the host's link, which is unlimited at first.
+  auto SetBandwidth(int host, double mbps) -> void;
   /// The host reaches neither the store nor the other hosts, until it does
   /// again.
   auto Isolate(int host, bool is_isolated) -> void;
@@ -57,6 +60,10 @@
   /// @return the host and the row of that delay.
   [[nodiscard]] auto LatestUse() const -> std::string;
   [[nodiscard]] auto StoreCalls() const -> int { return this->store_calls; }
+  /// @return the bytes that the store has sent to all hosts.
+  [[nodiscard]] auto StoreBytes() const -> std::size_t {
+    return this->store_link.TotalBytes();
+  }
   auto ForgetChanges() -> void { this->changes.clear(); }
   /// @return whether the host uses a backend server, draining or not.
   [[nodiscard]] auto IsKnown(int host, const std::string& server) const -> bool;
@@ -78,6 +85,12 @@
     TimePoint written_at{};
     std::map<int, TimePoint> used_at;  ///< By host.
   };
+  /// A row in the store's change feed, which keeps each version of it.
+  struct WrittenRow {
+    std::string table;
+    StoreVersion version;
+    std::size_t bytes = 0;
+  };
   struct Delay {
     Duration length{0};
     int host = -1;
@@ -89,6 +102,9 @@
   auto OnUse(int host, const std::string& table, const std::string& key,
              const std::string& value) -> void;
   [[nodiscard]] auto Longest() const -> Delay;
+  /// @return the bytes of the store's response with the changes of a table.
+  [[nodiscard]] auto FeedBytes(const std::string& table,
+                               StoreVersion after) const -> std::size_t;
   auto FindHost(const std::string& endpoint) -> Host*;
 
   ManualClock clock;
@@ -96,7 +112,9 @@
   FiberEvent has_changed;
   std::mt19937 random;
   int store_calls = 0;
+  SimulatedLink store_link{this->clock, 0};
   std::vector<Change> changes;
+  std::vector<WrittenRow> written_rows;
   std::vector<std::unique_ptr<Host>> hosts;
 };
 
