Keep the exceptions of fibers that wait in handlers apart

The C++ runtime lists the exceptions being handled by thread, and fibers of one thread share that list. A fiber that waited in a handler, as the responses with 503 to reads for other hosts do while they are sent, released the exception of the fiber that had entered a handler last: its message was freed memory. Seen as a crash of a new test, as more of them waited at once (a copy that is fetched waits in a handler). A wait now takes the list off the thread.

exception_state_test on the former code: "first handles second".

--- a/src/runtime/await.h
+++ b/src/runtime/await.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <list>
 
+#include "runtime/exception_state.h"
+
 namespace currantbeam {
 
 /// Thrown in waiting fibers when their loop stops, so that their stacks unwind.
@@ -28,6 +30,7 @@
     if (IsStopping()) throw LoopStopped();
     this->position = WaitingList().insert(WaitingList().end(), this);
     this->waiting = true;
+    const ExceptionState own_exceptions;
     this->fiber->suspend();
     if (!this->done) throw LoopStopped();
   }
