--- a/src/core/events.h
+++ b/src/core/events.h
@@ -70,10 +70,11 @@
 constexpr LogEvent kStoreRolledBack{908, LogLevel::kWarn, "store-rolled-back"};
 constexpr LogEvent kBackendOutdated{910, LogLevel::kInfo, "backend-outdated"};
 constexpr LogEvent kServerLeaving{911, LogLevel::kInfo, "server-leaving"};
+constexpr LogEvent kServerPaused{912, LogLevel::kInfo, "server-paused"};
 constexpr LogEvent kTableUpdated{913, LogLevel::kInfo, "table-updated"};
 constexpr LogEvent kBackendKept{914, LogLevel::kInfo, "backend-kept"};
 constexpr LogEvent kStoreCallFailed{915, LogLevel::kWarn, "store-call-failed"};
 constexpr LogEvent kReadThroughPeer{916, LogLevel::kInfo, "read-through-peer"};
-constexpr LogEvent kServerPaused{912, LogLevel::kInfo, "server-paused"};
+constexpr LogEvent kCopyFetched{917, LogLevel::kInfo, "copy-fetched"};
 
 }  // namespace currantbeam::events
--- a/src/keys/load_report.cc
+++ b/src/keys/load_report.cc
@@ -68,6 +68,7 @@
                            {"i", this->interval.count()},
                            {"s", services},
                            {"t", this->tables}};
+  if (this->accepts_announcements) report["a"] = true;
   if (!this->quarantine.IsEmpty()) {
     report["q"] = ToBinary(this->quarantine.Encode());
   }
@@ -84,6 +85,7 @@
       report.services[ServiceName(name)] = DecodeService(load);
     }
     report.tables = json.at("t").get<std::map<std::string, StoreVersion>>();
+    report.accepts_announcements = json.value("a", false);
     if (json.contains("q")) {
       report.quarantine = QuarantineState::Decode(FromBinary(json.at("q")));
     }
--- a/src/keys/load_report.h
+++ b/src/keys/load_report.h
@@ -30,6 +30,9 @@
   /// The versions of the store tables that the host follows, as far as it has
   /// their changes; by table.
   std::map<std::string, StoreVersion> tables;
+  /// Whether the reply may announce rows in place of sending them; false in
+  /// reports of hosts of an older version.
+  bool accepts_announcements = false;
   /// Empty in reports of hosts of an older version.
   QuarantineState quarantine;
 
--- a/src/keys/load_report_reply.cc
+++ b/src/keys/load_report_reply.cc
@@ -8,6 +8,7 @@
 /// Optional fields, of which hosts of an older version don't send the last.
 constexpr std::size_t kQuarantineField = 3;
 constexpr std::size_t kHostsField = 4;
+constexpr std::size_t kAnnouncementsField = 5;
 
 }  // namespace
 
@@ -19,10 +20,19 @@
   nlohmann::json reply = {this->host_count,
                           ToBinary(EncodeVersions(this->owner_versions)),
                           std::move(table_updates)};
-  if (!this->quarantine.IsEmpty() || !this->hosts.empty()) {
+  const bool has_announcements = !this->announcements.empty();
+  const bool has_hosts = !this->hosts.empty() || has_announcements;
+  if (!this->quarantine.IsEmpty() || has_hosts) {
     reply.push_back(ToBinary(this->quarantine.Encode()));
   }
-  if (!this->hosts.empty()) reply.push_back(this->hosts);
+  if (has_hosts) reply.push_back(this->hosts);
+  if (has_announcements) {
+    auto announcements = nlohmann::json::array();
+    for (const auto& [table, version] : this->announcements) {
+      announcements.push_back({table, version});
+    }
+    reply.push_back(std::move(announcements));
+  }
   return ToCbor(reply);
 }
 
@@ -42,6 +52,12 @@
     if (json.size() > kHostsField) {
       reply.hosts = json.at(kHostsField).get<std::vector<std::string>>();
     }
+    if (json.size() > kAnnouncementsField) {
+      for (const auto& item : json.at(kAnnouncementsField)) {
+        reply.announcements.push_back(
+            {item.at(0).get<std::string>(), item.at(1).get<StoreVersion>()});
+      }
+    }
     return reply;
   });
 }
--- a/src/keys/load_report_reply.h
+++ b/src/keys/load_report_reply.h
@@ -22,6 +22,8 @@
   /// The ADDRESS:PORT of some other hosts, different ones in each reply. Empty
   /// in replies of hosts of an older version.
   std::vector<std::string> hosts;
+  /// Tables whose changes are too large for a reply; the host asks for them.
+  std::vector<TableAnnouncement> announcements;
 
   [[nodiscard]] auto Encode() const -> std::string;
   /// @throws InputError if the text is not an encoded reply.
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -46,8 +46,11 @@
   return options;
 }
 
+/// For responses that may hold rows.
+const FetchTimeout kRowsTimeout{kRequestTimeout, kStallTimeout};
+
 auto Post(const Endpoint& endpoint, const char* path, std::string body,
-          std::chrono::milliseconds timeout = kRequestTimeout,
+          FetchTimeout timeout = kRequestTimeout,
           std::uint64_t max_bytes = kDefaultMaxResponseBytes) -> HttpResponse {
   HttpRequest request{http::verb::post, path, 11};
   request.body() = std::move(body);
@@ -60,7 +63,7 @@
 PeerExchange::PeerExchange(const RouterSettings& settings, const Clock& clock,
                            LoadRecorder& loads, OwnerDirectory& owners,
                            FleetSize& fleet, RequestQuarantine& quarantine,
-                           RelayedStore& store, StoreReader& own_store,
+                           RelayedStore& store, TableReadServer& table_reads,
                            KnownHosts& hosts, Duration first_contact_timeout)
     : settings(settings),
       clock(clock),
@@ -69,7 +72,7 @@
       fleet(fleet),
       quarantine(quarantine),
       store(store),
-      own_store(own_store),
+      table_reads(table_reads),
       hosts(hosts),
       first_contact_timeout(first_contact_timeout),
       server(ServerOptions(settings.peers), *this) {}
@@ -105,10 +108,12 @@
   this->store.SetLeader(is_coordinator);
   if (is_coordinator) {
     this->coordinator->OnReport(report);
-    this->ApplyReportReply(this->MakeReportReply(report), this->clock.Now());
+    this->ApplyReportReply(this->MakeReportReply(report), this->clock.Now(),
+                           report.endpoint);
     this->last_contact_at = this->clock.Now();
   } else {
     report.tables = this->store.Versions();
+    report.accepts_announcements = true;
     report.quarantine = this->quarantine.State(this->clock.Now());
     const bool is_accepted = this->SendReport(report);
     this->coordinator->OnCoordinatorContact(is_accepted);
@@ -124,9 +129,10 @@
   const auto sent_at = this->clock.Now();
   try {
     const auto response = Post(*endpoint, kReportPath, report.Encode(),
-                               kRequestTimeout, kMaxTablesBytes);
+                               kRowsTimeout, kMaxTablesBytes);
     if (response.result() != http::status::ok) return false;
-    this->ApplyReportReply(LoadReportReply::Decode(response.body()), sent_at);
+    this->ApplyReportReply(LoadReportReply::Decode(response.body()), sent_at,
+                           FormatEndpoint(*endpoint));
     return true;
   } catch (const RequestError& error) {
     Log(events::kReportLost,
@@ -145,20 +151,27 @@
       this->peers.begin(), this->peers.end(), [this](const auto& peer) {
         return this->HasReportedRecently(peer.second);
       });
-  return {static_cast<int>(others) + 1, this->coordinator->Versions(),
-          this->store.UpdatesSince(report.tables),
+  // Hosts of an older version don't know announcements.
+  auto tables = report.accepts_announcements
+                    ? this->store.SmallUpdatesSince(report.tables)
+                    : TableUpdates{this->store.UpdatesSince(report.tables), {}};
+  return {static_cast<int>(others) + 1,
+          this->coordinator->Versions(),
+          std::move(tables.updates),
           this->quarantine.State(this->clock.Now()),
-          this->hosts.Choose(kHostsPerReply)};
+          this->hosts.Choose(kHostsPerReply),
+          std::move(tables.announcements)};
 }
 
-auto PeerExchange::ApplyReportReply(LoadReportReply reply, TimePoint sent_at)
-    -> void {
+auto PeerExchange::ApplyReportReply(LoadReportReply reply, TimePoint sent_at,
+                                    const std::string& sender) -> void {
   this->fleet.Update(reply.host_count, this->clock.Now());
   for (const auto& [service, version] : reply.owner_versions) {
     this->owners.OnCoordinatorVersion(service, version);
   }
   for (const auto& host : reply.hosts) this->hosts.Add(host);
   this->store.OnUpdates(std::move(reply.table_updates), sent_at);
+  this->store.OnAnnouncements(reply.announcements, sender);
   this->quarantine.Merge(reply.quarantine, this->clock.Now());
 }
 
@@ -203,7 +216,7 @@
   try {
     const auto response =
         Post(*endpoint, kOwnersPath, EncodeVersions(known_versions),
-             kRequestTimeout, kMaxTablesBytes);
+             kRowsTimeout, kMaxTablesBytes);
     if (response.result() != http::status::ok) return false;
     this->ApplyOwners(TableUpdate::Decode(response.body()).rows);
     return true;
@@ -327,7 +340,7 @@
       return;
     }
     if (request.target() == kStoreReadPath) {
-      RespondToStoreRead(exchange, this->own_store, this->store.StoreUpFor());
+      RespondToStoreRead(exchange, this->table_reads);
       return;
     }
     if (request.target() == kUpdatePath) {
--- a/src/router/peer_exchange.h
+++ b/src/router/peer_exchange.h
@@ -21,14 +21,13 @@
  public:
   /// @param store  follows the store's tables, also through updates that this
   ///   exchange brings.
-  /// @param own_store  makes the reads of the store that other hosts ask for;
-  ///   it must not ask other hosts in turn.
+  /// @param table_reads  reads tables for other hosts.
   /// @param first_contact_timeout  how long a host that starts waits for the
   ///   coordinator before it reads the owners from the store.
   PeerExchange(const RouterSettings& settings, const Clock& clock,
                LoadRecorder& loads, OwnerDirectory& owners, FleetSize& fleet,
                RequestQuarantine& quarantine, RelayedStore& store,
-               StoreReader& own_store, KnownHosts& hosts,
+               TableReadServer& table_reads, KnownHosts& hosts,
                Duration first_contact_timeout);
 
   /// Starts listening, reporting and reading on the loop.
@@ -69,7 +68,9 @@
   /// Applies the reply's number of hosts, owner versions, table updates and
   /// quarantine.
   /// @param sent_at  when the report was sent.
-  auto ApplyReportReply(LoadReportReply reply, TimePoint sent_at) -> void;
+  /// @param sender  ADDRESS:PORT of the coordinator.
+  auto ApplyReportReply(LoadReportReply reply, TimePoint sent_at,
+                        const std::string& sender) -> void;
   /// Handles a report of another host; 503 unless the coordinator is active.
   auto HandleReport(HttpExchange& exchange) -> void;
   /// Responds with the owners that are newer than the versions in the request;
@@ -101,7 +102,7 @@
   FleetSize& fleet;
   RequestQuarantine& quarantine;
   RelayedStore& store;
-  StoreReader& own_store;
+  TableReadServer& table_reads;
   KnownHosts& hosts;
   Duration first_contact_timeout;
   KeyCoordinator* coordinator = nullptr;
--- a/src/router/peer_reads.cc
+++ b/src/router/peer_reads.cc
@@ -1,8 +1,9 @@
 #include "router/peer_reads.h"
 
-#include <algorithm>
 #include <utility>
+#include <vector>
 
+#include "core/cbor.h"
 #include "router/endpoint.h"
 
 namespace currantbeam {
@@ -11,17 +12,15 @@
 /// Responses may hold a whole table.
 constexpr std::uint64_t kMaxTableBytes = 32 * 1024 * 1024;
 
-auto ReadFor(const StoreReadRequest& request, StoreReader& store) -> RowBatch {
-  if (!request.after) return store.Read(request.table, request.partition);
-  auto batch = store.Follow(request.table, *request.after, request.wait);
-  // The changes are of all partitions, and the message names none.
-  const auto is_other = [&](const StoreRow& row) {
-    return row.name.partition != request.partition;
-  };
-  batch.rows.erase(
-      std::remove_if(batch.rows.begin(), batch.rows.end(), is_other),
-      batch.rows.end());
-  return batch;
+/// @return the names of hosts in CBOR.
+auto EncodeHosts(const std::vector<std::string>& hosts) -> std::string {
+  return ToCbor(hosts);
+}
+
+auto DecodeHosts(const std::string& text) -> std::vector<std::string> {
+  return FromCbor(text, "hosts", [](const nlohmann::json& json) {
+    return json.get<std::vector<std::string>>();
+  });
 }
 
 auto SendBody(HttpExchange& exchange, http::status status, std::string body)
@@ -40,6 +39,8 @@
   batch.version = update.version;
   batch.store_time = update.store_time;
   batch.store_up_for = update.store_up_for;
+  batch.age = update.age;
+  batch.is_whole_table = update.is_full;
   return batch;
 }
 
@@ -53,11 +54,14 @@
     HttpRequest message{http::verb::post, kStoreReadPath, 11};
     message.body() = request.Encode();
     const auto response = Fetch(target.address, target.port, std::move(message),
-                                timeout, kMaxTableBytes);
+                                {timeout, kStallTimeout}, kMaxTableBytes);
     if (response.result() == http::status::gone) {
       throw HistoryLost("store: the requested change history was dropped",
                         TableUpdate::Decode(response.body()).version.epoch);
     }
+    if (response.result() == http::status::too_many_requests) {
+      throw CopyBusy(DecodeHosts(response.body()));
+    }
     if (response.result() != http::status::ok) {
       throw StoreError("host: HTTP status " +
                        std::to_string(response.result_int()));
@@ -70,22 +74,21 @@
   }
 }
 
-auto RespondToStoreRead(HttpExchange& exchange, StoreReader& store,
-                        Duration store_up_for) -> void {
+auto RespondToStoreRead(HttpExchange& exchange, TableReadServer& reads)
+    -> void {
   const auto request = StoreReadRequest::Decode(exchange.Request().body());
-  TableUpdate update;
-  update.table = request.table;
-  update.is_full = !request.after.has_value();
   try {
-    auto batch = ReadFor(request, store);
-    update.rows = std::move(batch.rows);
-    update.version = batch.version;
-    update.store_time = batch.store_time;
-    update.store_up_for = store_up_for;
-    SendBody(exchange, http::status::ok, update.Encode());
+    reads.Serve(request, [&](const TableUpdate& update) {
+      SendBody(exchange, http::status::ok, update.Encode());
+    });
   } catch (const HistoryLost& lost) {
+    TableUpdate update;
+    update.table = request.table;
     update.version.epoch = lost.Epoch();
     SendBody(exchange, http::status::gone, update.Encode());
+  } catch (const CopyBusy& busy) {
+    SendBody(exchange, http::status::too_many_requests,
+             EncodeHosts(busy.Others()));
   } catch (const StoreError& error) {
     SendBody(exchange, http::status::service_unavailable, error.what());
   }
--- a/src/router/peer_reads.h
+++ b/src/router/peer_reads.h
@@ -17,14 +17,11 @@
             std::chrono::milliseconds timeout) -> RowBatch override;
 };
 
-/// Responds to requests of other hosts to read the store: 200 with a
-/// TableUpdate, 410 with the epoch if the store no longer has the changes, 503
-/// if it does not respond to this host either.
-/// @param store  calls the store itself, not other hosts.
-/// @param store_up_for  how long the store has answered this host without an
-///   interruption; zero if unknown.
+/// Responds to requests of other hosts for rows: 200 with a TableUpdate, 410
+/// with the epoch if the store no longer has the changes, 429 with the names of
+/// other hosts while the copies are being sent to many, 503 if the store does
+/// not respond to this host either.
 /// @throws InputError if the request is invalid.
-auto RespondToStoreRead(HttpExchange& exchange, StoreReader& store,
-                        Duration store_up_for) -> void;
+auto RespondToStoreRead(HttpExchange& exchange, TableReadServer& reads) -> void;
 
 }  // namespace currantbeam
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -89,7 +89,9 @@
   HttpPeerLink peer_link;
   PeerReader peer_reader;
   PeerBackedStore backed_store;
+  CopyFetcher copy_fetcher;
   RelayedStore store;
+  TableReadServer table_reads;
   ForwardingState state;
   PeerExchange peer_exchange;
   QuarantineStore quarantine_store;
--- a/src/store/peer_backed_store.cc
+++ b/src/store/peer_backed_store.cc
@@ -39,6 +39,7 @@
 auto PeerBackedStore::Read(const std::string& table,
                            const std::string& partition) -> RowBatch {
   return this->FirstResponse(
+      table,
       [this, table, partition](milliseconds /*wait*/) {
         return this->store.Read(table, partition);
       },
@@ -51,6 +52,7 @@
 auto PeerBackedStore::Follow(const std::string& table, StoreVersion after,
                              std::chrono::milliseconds wait) -> RowBatch {
   return this->FirstResponse(
+      table,
       [this, table, after](milliseconds max_wait) {
         return this->store.Follow(table, after, max_wait);
       },
@@ -60,7 +62,8 @@
       wait, kFollowPatience);
 }
 
-auto PeerBackedStore::FirstResponse(const ReadCall& from_store,
+auto PeerBackedStore::FirstResponse(const std::string& table,
+                                    const ReadCall& from_store,
                                     const ReadCall& from_peers,
                                     milliseconds wait, Duration patience)
     -> RowBatch {
@@ -69,7 +72,7 @@
   const auto first_call = this->StartFirstCall(
       race, [from_store, wait] { return from_store(wait); });
   race.WaitFor(this->clock, is_in_doubt ? Duration(0) : wait + patience);
-  while (!race.IsOver() && this->store.IsReceiving()) {
+  while (!race.IsOver() && this->store.IsReceiving(table)) {
     race.WaitFor(this->clock, kRetryInterval);
   }
   if (race.HasResponse() || first_call->is_cut_short) return race.Take();
--- a/src/store/peer_reader.h
+++ b/src/store/peer_reader.h
@@ -3,25 +3,10 @@
 #include <string>
 
 #include "store/known_hosts.h"
-#include "store/store_client.h"
-#include "store/store_read_request.h"
+#include "store/peer_link.h"
 
 namespace currantbeam {
 
-/// Sends requests to other hosts to read the store for this one.
-class PeerLink {
- public:
-  virtual ~PeerLink() = default;
-  /// @param endpoint  of the other host.
-  /// @return the rows that the store sent the other host.
-  /// @throws HistoryLost if the store said so.
-  /// @throws StoreError if the other host did not respond in time, or did not
-  ///   get a response from the store.
-  virtual auto Send(const std::string& endpoint,
-                    const StoreReadRequest& request,
-                    std::chrono::milliseconds timeout) -> RowBatch = 0;
-};
-
 /// Reads the store through other hosts: through the one that responded last,
 /// and if that fails or is late, through groups of several others. After a
 /// failure of all of them it pauses, since the store may be unreachable for all
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -1,6 +1,7 @@
 #include "store/relayed_store.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/events.h"
 
@@ -28,17 +29,22 @@
 /// for them, so they were written right before the response. Only estimates
 /// depend on it.
 constexpr Duration kPromptResponseTime = std::chrono::milliseconds(100);
+/// Larger updates are announced, so that the messages that carry updates stay
+/// small on any link.
+constexpr std::size_t kMaxUpdateBytes = 16 * 1024;
 
 }  // namespace
 
 RelayedStore::RelayedStore(StoreClient& store, const Clock& clock,
                            const std::vector<std::string>& tables,
-                           Duration election_timeout)
+                           Duration election_timeout, CopyFetcher* fetcher)
     : store(store),
       clock(clock),
-      election_deadline(clock.Now() + election_timeout) {
+      election_deadline(clock.Now() + election_timeout),
+      fetcher(fetcher) {
   for (const auto& table : tables) {
-    this->tables.emplace(table, SharedTable{RelayedTable(table), {}, {}, {}});
+    this->tables.emplace(table,
+                         SharedTable{RelayedTable(table), {}, {}, {}, {}, {}});
   }
 }
 
@@ -60,6 +66,7 @@
       this->OnReceived(shared, table, *rows, source, last_version);
       return std::move(*rows);
     }
+    if (this->FetchAnnounced(shared)) continue;
     const auto remaining = deadline - this->clock.Now();
     if (remaining <= Duration(0)) break;
     this->AwaitUpdate(table, std::min(remaining, kLeaderCheckInterval));
@@ -102,6 +109,11 @@
                        last_version);
       return std::move(*changes);
     }
+    if (this->FetchAnnounced(shared)) {
+      if (!shared.table.HasPendingSnapshot()) continue;
+      throw HistoryLost("another host sent the whole table",
+                        shared.table.LastVersion().epoch);
+    }
     const auto poll_at =
         std::max(shared.table.FreshUntil(), shared.next_poll_at);
     const auto remaining = poll_at - this->clock.Now();
@@ -140,7 +152,12 @@
   }
   const auto received_at = this->clock.Now();
   const auto last_current_at = this->store_clock.StoreTime(shared.table.AsOf());
-  this->store_clock.OnResponse(batch.store_time, requested_at, received_at);
+  const bool is_from_copy = batch.age != Duration(0);
+  if (is_from_copy) {
+    this->store_clock.OnEstimate(batch.store_time, requested_at);
+  } else {
+    this->store_clock.OnResponse(batch.store_time, requested_at, received_at);
+  }
   const bool has_waited =
       !batch.is_from_peer && received_at - requested_at > kPromptResponseTime;
   for (auto& row : batch.rows) {
@@ -150,15 +167,18 @@
   const auto responded_by = batch.rows.empty()
                                 ? std::min(received_at, requested_at + wait)
                                 : received_at;
-  const auto as_of = this->store_clock.RespondedAt(batch.store_time,
-                                                   requested_at, responded_by);
+  const auto as_of = is_from_copy
+                         ? requested_at - batch.age
+                         : this->store_clock.RespondedAt(
+                               batch.store_time, requested_at, responded_by);
   this->continuity.OnAnswer(as_of, batch.store_up_for);
   const auto last_version = shared.table.LastVersion();
   shared.table.OnFollowed(batch, as_of);
   const auto source =
       batch.is_from_peer ? RowSource::kPeer : RowSource::kFollowed;
   this->OnReceived(shared, table, batch, source, last_version);
-  if (!batch.rows.empty()) {
+  // A copy of another host may lack the latest changes.
+  if (!batch.rows.empty() && !is_from_copy) {
     shared.next_poll_at = this->clock.Now() + kMinStandaloneInterval;
   }
   return batch;
@@ -226,14 +246,92 @@
     if (it == this->tables.end()) continue;
     auto update = it->second.table.UpdateSince(version, this->clock.Now());
     if (!update) continue;
-    update->store_time = this->store_clock.StoreTime(this->clock.Now());
-    update->store_up_for =
-        this->continuity.UpFor(this->clock.Now() - update->age);
+    this->AddStoreTimes(*update);
     result.push_back(std::move(*update));
   }
   return result;
 }
 
+auto RelayedStore::SmallUpdatesSince(
+    const std::map<std::string, StoreVersion>& versions) const -> TableUpdates {
+  TableUpdates result;
+  std::map<std::string, StoreVersion> small;
+  for (const auto& [name, version] : versions) {
+    const auto it = this->tables.find(name);
+    if (it == this->tables.end()) continue;
+    const auto& table = it->second.table;
+    const bool is_large = table.Version().number != 0 &&
+                          table.BytesSince(version) > kMaxUpdateBytes;
+    if (is_large) {
+      result.announcements.push_back({name, table.Version()});
+    } else {
+      small.emplace(name, version);
+    }
+  }
+  result.updates = this->UpdatesSince(small);
+  return result;
+}
+
+auto RelayedStore::CopySince(const std::string& table, StoreVersion after)
+    -> std::optional<TableUpdate> {
+  const auto it = this->tables.find(table);
+  if (it == this->tables.end()) return std::nullopt;
+  auto& copy = it->second.table;
+  auto update = copy.HeaderSince(after, this->clock.Now());
+  if (!update || update->version <= after) return std::nullopt;
+  if (copy.BytesSince(after) > kMaxUpdateBytes) {
+    update->compressed_rows = copy.CompressedRowsSince(after);
+  } else {
+    update = copy.UpdateSince(after, this->clock.Now());
+    if (update->rows.empty()) return std::nullopt;
+  }
+  this->AddStoreTimes(*update);
+  return update;
+}
+
+auto RelayedStore::AddStoreTimes(TableUpdate& update) const -> void {
+  const auto now = this->clock.Now();
+  update.store_time = this->store_clock.StoreTime(now);
+  update.store_up_for = this->continuity.UpFor(now - update.age);
+}
+
+auto RelayedStore::OnAnnouncements(
+    const std::vector<TableAnnouncement>& announcements,
+    const std::string& announced_by) -> void {
+  for (const auto& announcement : announcements) {
+    const auto it = this->tables.find(announcement.table);
+    if (it == this->tables.end()) continue;
+    auto& shared = it->second;
+    shared.announcement = announcement;
+    shared.announced_by = announced_by;
+    shared.has_update.Notify();
+  }
+}
+
+auto RelayedStore::FetchAnnounced(SharedTable& shared) -> bool {
+  if (!shared.announcement || this->fetcher == nullptr) return false;
+  const auto announcement = *std::exchange(shared.announcement, std::nullopt);
+  if (announcement.version <= shared.table.LastVersion()) return false;
+  try {
+    auto [batch, requested_at] = this->fetcher->Fetch(
+        announcement, shared.announced_by, shared.table.Version());
+    TableUpdate update;
+    update.table = announcement.table;
+    update.is_full = batch.is_whole_table;
+    update.version = batch.version;
+    update.age = batch.age;
+    update.store_time = batch.store_time;
+    update.store_up_for = batch.store_up_for;
+    update.rows = std::move(batch.rows);
+    this->OnUpdates({std::move(update)}, requested_at);
+    return true;
+  } catch (const StoreError&) {
+    // The fetcher has logged the failure. The changes are announced again, and
+    // the store is read once the copy is old.
+    return false;
+  }
+}
+
 auto RelayedStore::OnUpdates(std::vector<TableUpdate> updates,
                              TimePoint requested_at) -> void {
   for (auto& table_update : updates) {
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "runtime/runtime.h"
+#include "store/copy_fetcher.h"
 #include "store/relayed_table.h"
 #include "store/row_delays.h"
 #include "store/store_client.h"
@@ -14,20 +15,28 @@
 
 namespace currantbeam {
 
+/// What a host sends another one whose copies are older.
+struct TableUpdates {
+  std::vector<TableUpdate> updates;
+  /// Of tables whose changes are large.
+  std::vector<TableAnnouncement> announcements;
+};
+
 /// A StoreClient that reduces reads of the store: the leader, one of the hosts,
 /// follows the shared tables in the store and sends updates to the other hosts.
 /// Those read the store themselves only while they have no recent update from
-/// the leader. Calls for other tables, and writes, are passed on. Runs on one
-/// loop.
+/// the leader. Large changes are announced to them, and they fetch them. Calls
+/// for other tables, and writes, are passed on. Runs on one loop.
 class RelayedStore : public StoreClient {
  public:
   /// @param tables  the names of the shared tables.
   /// @param election_timeout  how long after its start this host expects a
   ///   leader to be elected. Until then it waits for table snapshots from the
   ///   leader, and doesn't read the store itself.
+  /// @param fetcher  fetches announced changes; null if none are announced.
   RelayedStore(StoreClient& store, const Clock& clock,
                const std::vector<std::string>& tables,
-               Duration election_timeout);
+               Duration election_timeout, CopyFetcher* fetcher = nullptr);
 
   auto Read(const std::string& table, const std::string& partition)
       -> RowBatch override;
@@ -61,10 +70,23 @@
   [[nodiscard]] auto UpdatesSince(
       const std::map<std::string, StoreVersion>& versions) const
       -> std::vector<TableUpdate>;
+  /// The same, with announcements in place of large updates.
+  [[nodiscard]] auto SmallUpdatesSince(
+      const std::map<std::string, StoreVersion>& versions) const
+      -> TableUpdates;
+  /// @return what brings a copy of the shared table from this version to that
+  ///   of this host's copy, compressed if it is large; nothing if the rows are
+  ///   the same.
+  auto CopySince(const std::string& table, StoreVersion after)
+      -> std::optional<TableUpdate>;
   /// Accepts updates from the leader.
   /// @param requested_at  when this host sent the request for them.
   auto OnUpdates(std::vector<TableUpdate> updates, TimePoint requested_at)
       -> void;
+  /// Accepts announcements from the leader.
+  /// @param announced_by  the leader's ADDRESS:PORT.
+  auto OnAnnouncements(const std::vector<TableAnnouncement>& announcements,
+                       const std::string& announced_by) -> void;
 
  protected:
   /// Waits until an update of a shared table arrives, at most `max_wait`.
@@ -76,9 +98,16 @@
     FiberEvent has_update;
     /// The earliest time of the next poll, unless this host is the leader.
     TimePoint next_poll_at{};
-    RowSource source = RowSource::kNone;  ///< Of the latest rows.
+    RowSource source = RowSource::kNone;            ///< Of the latest rows.
+    std::optional<TableAnnouncement> announcement;  ///< Not yet acted on.
+    std::string announced_by;
   };
 
+  /// Fetches what was announced, if it is newer than the copy.
+  /// @return whether there is an update to apply.
+  auto FetchAnnounced(SharedTable& shared) -> bool;
+  /// Adds what the receiver needs to know of this host's clocks.
+  auto AddStoreTimes(TableUpdate& update) const -> void;
   auto ReadDirectly(SharedTable& shared, const std::string& table) -> RowBatch;
   auto FollowDirectly(SharedTable& shared, const std::string& table,
                       StoreVersion after, std::chrono::milliseconds wait)
@@ -96,6 +125,7 @@
   const Clock& clock;
   std::map<std::string, SharedTable> tables;
   TimePoint election_deadline;
+  CopyFetcher* fetcher;
   bool is_leader = false;
   StoreClock store_clock;
   StoreContinuity continuity;
--- a/src/store/relayed_table.cc
+++ b/src/store/relayed_table.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kMinTombstoneLimit = 64;
 /// Gaps in the history that are remembered, before the history is cut short.
 constexpr std::size_t kMaxGaps = 16;
+/// Versions from which compressed rows are kept.
+constexpr std::size_t kMaxCompressed = 8;
 
 }  // namespace
 
@@ -30,6 +32,7 @@
 auto RelayedTable::OnUpdate(TableUpdate update, TimePoint requested_at)
     -> void {
   if (update.version < this->floor) return;
+  if (this->update && update.version < this->update->version) return;
   this->relayed_as_of =
       std::max(this->relayed_as_of, requested_at - update.age);
   this->update = std::move(update);
@@ -88,18 +91,54 @@
 
 auto RelayedTable::UpdateSince(StoreVersion after, TimePoint now) const
     -> std::optional<TableUpdate> {
+  auto update = this->HeaderSince(after, now);
+  if (!update) return std::nullopt;
+  for (const auto* row : this->RowsSince(after)) update->rows.push_back(*row);
+  return update;
+}
+
+auto RelayedTable::HeaderSince(StoreVersion after, TimePoint now) const
+    -> std::optional<TableUpdate> {
   if (this->version.number == 0) return std::nullopt;
   TableUpdate update;
   update.table = this->table;
   update.is_full = !this->HasHistorySince(after);
   update.version = this->version;
   update.age = now - this->as_of;
+  return update;
+}
+
+auto RelayedTable::RowsSince(StoreVersion after) const
+    -> std::vector<const StoreRow*> {
+  const bool is_full = !this->HasHistorySince(after);
+  std::vector<const StoreRow*> selected;
   for (const auto& [key, row] : this->rows) {
-    const bool is_included =
-        update.is_full ? !row.is_deleted : row.version > after;
-    if (is_included) update.rows.push_back(row);
+    const bool is_included = is_full ? !row.is_deleted : row.version > after;
+    if (is_included) selected.push_back(&row);
   }
-  return update;
+  return selected;
+}
+
+auto RelayedTable::BytesSince(StoreVersion after) const -> std::size_t {
+  std::size_t bytes = 0;
+  for (const auto* row : this->RowsSince(after)) bytes += row->value.size();
+  return bytes;
+}
+
+auto RelayedTable::CompressedRowsSince(StoreVersion after)
+    -> std::shared_ptr<const std::string> {
+  const bool is_outdated = this->compressed_version != this->version ||
+                           this->compressed_rows.size() >= kMaxCompressed;
+  if (is_outdated) this->compressed_rows.clear();
+  this->compressed_version = this->version;
+  auto& compressed = this->compressed_rows[after];
+  if (!compressed) {
+    std::vector<StoreRow> selected;
+    for (const auto* row : this->RowsSince(after)) selected.push_back(*row);
+    compressed = std::make_shared<const std::string>(
+        TableUpdate::CompressRows(selected));
+  }
+  return compressed;
 }
 
 auto RelayedTable::Replace(const RowBatch& batch) -> void {
--- a/src/store/relayed_table.h
+++ b/src/store/relayed_table.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -71,8 +72,22 @@
   ///   this copy is unknown.
   [[nodiscard]] auto UpdateSince(StoreVersion after, TimePoint now) const
       -> std::optional<TableUpdate>;
+  /// @return that update without its rows.
+  [[nodiscard]] auto HeaderSince(StoreVersion after, TimePoint now) const
+      -> std::optional<TableUpdate>;
+  /// @return the rows of that update, once for all updates from the same
+  /// version
+  ///   to the same version.
+  auto CompressedRowsSince(StoreVersion after)
+      -> std::shared_ptr<const std::string>;
+  /// @return the size of the rows of that update, as far as their values make
+  ///   it up.
+  [[nodiscard]] auto BytesSince(StoreVersion after) const -> std::size_t;
 
  private:
+  /// @return the rows of an update from this version, or of a snapshot.
+  [[nodiscard]] auto RowsSince(StoreVersion after) const
+      -> std::vector<const StoreRow*>;
   auto Replace(const RowBatch& batch) -> void;
   /// @return whether the changes since this version are known.
   [[nodiscard]] auto HasHistorySince(StoreVersion after) const -> bool;
@@ -105,6 +120,10 @@
   StoreVersion version;   ///< Number 0 while the copy is unknown.
   StoreVersion floor;     ///< Highest version ever; older updates are ignored.
   TimePoint as_of{};
+  /// Compressed rows of updates to `version`, by the version that they are
+  /// from.
+  std::map<StoreVersion, std::shared_ptr<const std::string>> compressed_rows;
+  StoreVersion compressed_version;    ///< Of the copy for `compressed_rows`.
   std::optional<TableUpdate> update;  ///< Received but not yet applied.
   TimePoint relayed_as_of{};  ///< Like `as_of`, by the updates received.
 };
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -92,12 +92,21 @@
   /// How long the store had answered that host without an interruption; zero if
   /// unknown.
   Duration store_up_for{0};
+  /// How long before the call was made the rows may have been read.
+  Duration age{0};
+  /// The rows are the whole table, in response to a call for changes.
+  bool is_whole_table = false;
 };
 
 /// How much longer than the wait it asks for a call for changes may take; after
 /// that it fails.
 constexpr auto kFollowTimeoutMargin = std::chrono::milliseconds(800);
 
+/// A response with rows that has begun fails if it makes no progress for this
+/// long. It has no timeout as a whole, as its size and the link decide how long
+/// it takes, and it would begin at zero again.
+constexpr auto kStallTimeout = std::chrono::milliseconds(500);
+
 /// Reads tables of versioned rows and their changes. Call from a fiber.
 class StoreReader {
  public:
@@ -117,9 +126,12 @@
   /// @throws StoreError if the call fails.
   virtual auto Follow(const std::string& table, StoreVersion after,
                       std::chrono::milliseconds wait) -> RowBatch = 0;
-  /// @return whether a response to a call is arriving, so that the store is not
-  ///   late, however long that takes.
-  [[nodiscard]] virtual auto IsReceiving() const -> bool { return false; }
+  /// @return whether a response with rows of the table is arriving, so that the
+  ///   store is not late, however long that takes.
+  [[nodiscard]] virtual auto IsReceiving(const std::string& /*table*/) const
+      -> bool {
+    return false;
+  }
 };
 
 /// A client of the store: tables of versioned rows with conditional
--- a/src/store/store_read_request.cc
+++ b/src/store/store_read_request.cc
@@ -11,9 +11,10 @@
 }  // namespace
 
 auto StoreReadRequest::Encode() const -> std::string {
-  nlohmann::json request = {this->table, this->partition, this->wait.count()};
-  if (this->after) request.push_back(*this->after);
-  return ToCbor(request);
+  nlohmann::json after;
+  if (this->after) after = *this->after;
+  return ToCbor({this->table, this->partition, this->wait.count(),
+                 std::move(after), this->is_of_copy, this->sender});
 }
 
 auto StoreReadRequest::Decode(const std::string& text) -> StoreReadRequest {
@@ -25,7 +26,11 @@
     if (request.wait.count() < 0 || request.wait > kMaxWait) {
       throw InputError("store read request: the wait is out of range");
     }
-    if (json.size() > 3) request.after = json.at(3).get<StoreVersion>();
+    // Hosts of an older version send fewer fields.
+    const bool has_after = json.size() > 3 && !json.at(3).is_null();
+    if (has_after) request.after = json.at(3).get<StoreVersion>();
+    if (json.size() > 4) request.is_of_copy = json.at(4).get<bool>();
+    if (json.size() > 5) request.sender = json.at(5).get<std::string>();
     return request;
   });
 }
--- a/src/store/store_read_request.h
+++ b/src/store/store_read_request.h
@@ -7,7 +7,8 @@
 
 namespace currantbeam {
 
-/// Asks another host to read the store. Its reply is a TableUpdate.
+/// Asks another host to read the store, or for the rows of its copy. Its reply
+/// is a TableUpdate.
 struct StoreReadRequest {
   std::string table;
   std::string partition;
@@ -15,6 +16,9 @@
   std::optional<StoreVersion> after;
   /// How long the store may delay its response if nothing changed.
   std::chrono::milliseconds wait{0};
+  /// Whether only the other host's copy of the table is asked for.
+  bool is_of_copy = false;
+  std::string sender;  ///< The ADDRESS:PORT of the host that asks.
 
   [[nodiscard]] auto Encode() const -> std::string;
   /// @throws InputError if the text is not an encoded request.
--- a/tests/platform_wire/wire_fleet.cc
+++ b/tests/platform_wire/wire_fleet.cc
@@ -196,7 +196,7 @@
   request.body() = body;
   try {
     return Fetch(this->settings.peers.address, this->settings.peers.port,
-                 std::move(request), std::chrono::seconds(2))
+                 std::move(request), std::chrono::milliseconds(2000))
         .result_int();
   } catch (const RequestError&) {
     return std::nullopt;
@@ -208,7 +208,7 @@
   try {
     const auto response = Fetch(readiness.address, readiness.port,
                                 HttpRequest{http::verb::get, "/ready", 11},
-                                std::chrono::seconds(1));
+                                std::chrono::milliseconds(1000));
     return response.result() == http::status::ok;
   } catch (const RequestError&) {
     return false;
--- a/tests/platform_wire/wire_store_test.cc
+++ b/tests/platform_wire/wire_store_test.cc
@@ -12,7 +12,7 @@
 namespace {
 
 const std::uint16_t kPort = TestPort(0);
-constexpr auto kCallTimeout = std::chrono::seconds(2);
+constexpr auto kCallTimeout = std::chrono::milliseconds(2000);
 /// Longer than the test runs: the copy is that of the empty store.
 const char* const kRestoreEmpty = "/standin/restore?seconds=20";
 
--- a/tests/router/fleet_simulation.cc
+++ b/tests/router/fleet_simulation.cc
@@ -18,6 +18,7 @@
 constexpr Duration kTaskInterval = milliseconds(200);
 constexpr Duration kBatchDelay = milliseconds(250);
 constexpr std::size_t kHostsPerReply = 4;
+constexpr double kUnlimitedMbps = 1e6;
 const char* const kRoutes = "routes";
 const char* const kBackends = "backends";
 
@@ -58,12 +59,15 @@
   return kOtherBytes + value.size() * 4 / 3;
 }
 
-/// @return the bytes of a message between hosts with these rows.
-auto MessageBytes(const std::vector<StoreRow>& rows) -> std::size_t {
-  constexpr std::size_t kBytesPerRow = 50;
-  std::size_t bytes = 0;
-  for (const auto& row : rows) bytes += kBytesPerRow + row.value.size();
-  return bytes;
+auto ToBatch(TableUpdate update) -> RowBatch {
+  RowBatch batch;
+  batch.rows = std::move(update.rows);
+  batch.version = update.version;
+  batch.store_time = update.store_time;
+  batch.store_up_for = update.store_up_for;
+  batch.age = update.age;
+  batch.is_whole_table = update.is_full;
+  return batch;
 }
 
 class NoServers : public GrantClient {
@@ -86,13 +90,12 @@
 
   auto Read(const std::string& table, const std::string& partition)
       -> RowBatch override {
-    const auto deadline = this->fleet.clock.Now() + kReadTimeout;
     this->Begin(kReadTimeout);
     auto batch = this->fleet.memory.Read(table, partition);
     this->End(kReadTimeout);
     std::size_t bytes = 0;
     for (const auto& row : batch.rows) bytes += StoreRowBytes(row.value);
-    this->Receive(bytes, deadline);
+    this->Receive(table, bytes);
     return batch;
   }
   auto Follow(const std::string& table, StoreVersion after, milliseconds wait)
@@ -107,12 +110,13 @@
       batch = this->fleet.memory.Follow(table, after, wait);
     }
     this->End(timeout);
-    this->Receive(this->fleet.FeedBytes(table, after),
-                  deadline + kFollowTimeoutMargin);
+    this->Receive(table, this->fleet.FeedBytes(table, after));
     return batch;
   }
-  [[nodiscard]] auto IsReceiving() const -> bool override {
-    return this->arriving_responses != 0;
+  [[nodiscard]] auto IsReceiving(const std::string& table) const
+      -> bool override {
+    const auto arriving = this->arriving_responses.find(table);
+    return arriving != this->arriving_responses.end() && arriving->second != 0;
   }
   auto Write(const StoreWrite& write) -> WriteResult override {
     try {
@@ -148,11 +152,12 @@
     SleepFor(timeout);
     throw StoreError("lost");
   }
-  auto Receive(std::size_t bytes, TimePoint deadline) -> void {
-    ++this->arriving_responses;
+  auto Receive(const std::string& table, std::size_t bytes) -> void {
+    auto& arriving = this->arriving_responses[table];
+    ++arriving;
     const bool is_complete = Transfer(this->fleet.clock, this->fleet.store_link,
-                                      this->network, bytes, deadline);
-    --this->arriving_responses;
+                                      this->network, bytes);
+    --arriving;
     if (!is_complete) throw ResponseCutShort("cut short");
   }
   auto FailIfCut(Duration timeout) const -> void {
@@ -164,7 +169,7 @@
 
   FleetSimulation& fleet;
   SimulatedLink& network;
-  int arriving_responses = 0;
+  std::map<std::string, int> arriving_responses;
 };
 
 /// Carries a host's reads to other hosts.
@@ -185,10 +190,10 @@
 
 class FleetSimulation::Host {
  public:
-  Host(FleetSimulation& fleet, int index)
+  Host(FleetSimulation& fleet, int index, double link_mbps)
       : fleet(fleet),
         index(index),
-        network(fleet.clock, 0),
+        network(fleet.clock, link_mbps),
         link(fleet, this->network),
         endpoint("host:" + std::to_string(index)),
         mail(fleet, this->network) {}
@@ -216,10 +221,18 @@
   PeerReader peer_reader{this->mail, this->hosts, this->fleet.clock};
   PeerBackedStore backed_store{this->own_store, this->peer_reader,
                                this->fleet.clock};
+  CopyFetcher fetcher{this->mail, this->fleet.clock, this->endpoint,
+                      static_cast<unsigned>(this->index)};
   RelayedStore store{this->backed_store,
                      this->fleet.clock,
                      {kRoutes, kBackends},
-                     std::chrono::seconds(1)};
+                     std::chrono::seconds(1),
+                     &this->fetcher};
+  TableReadServer reads{this->store, this->own_store, this->fleet.clock,
+                        this->network.Bandwidth() == 0
+                            ? kUnlimitedMbps
+                            : this->network.Bandwidth(),
+                        static_cast<unsigned>(this->index)};
   BackendDirectory directory{this->fleet.clock};
   FleetSchema schema;
   NoServers servers;
@@ -262,17 +275,17 @@
     }
     if (!other->coordinator.IsActive()) return false;
     other->hosts.Add(this->endpoint);
-    auto updates = other->store.UpdatesSince(this->store.Versions());
+    auto tables = other->store.SmallUpdatesSince(this->store.Versions());
     const auto named = other->hosts.Choose(kHostsPerReply);
     std::size_t bytes = 0;
-    for (const auto& update : updates) bytes += MessageBytes(update.rows);
-    const bool is_complete =
-        Transfer(this->fleet.clock, other->network, this->network, bytes,
-                 sent_at + kReportTimeout);
-    if (!is_complete) return false;
+    for (const auto& update : tables.updates) bytes += update.Encode().size();
+    if (!Transfer(this->fleet.clock, other->network, this->network, bytes)) {
+      return false;
+    }
     SleepFor(kMessageTime);
     for (const auto& host : named) this->hosts.Add(host);
-    this->store.OnUpdates(std::move(updates), sent_at);
+    this->store.OnUpdates(std::move(tables.updates), sent_at);
+    this->store.OnAnnouncements(tables.announcements, other->endpoint);
     return true;
   }
   auto RunTasks() -> void {
@@ -364,28 +377,44 @@
     SleepFor(deadline - clock.Now());
     throw StoreError("no response");
   }
+  // The response begins before the deadline, and takes as long as its size.
   ReadRace response;
-  response.Start([host, request] {
-    auto batch = request.after
-                     ? host->own_store.Follow(request.table, *request.after,
-                                              request.wait)
-                     : host->own_store.Read(request.table, request.partition);
-    batch.store_up_for = host->store.StoreUpFor();
+  auto has_begun = std::make_shared<bool>(false);
+  auto busy = std::make_shared<std::optional<CopyBusy>>();
+  response.Start([this, host, request, has_begun, busy] {
+    RowBatch batch;
+    bool is_complete = false;
+    const auto receive = [&](const TableUpdate& update) {
+      *has_begun = true;
+      const auto encoded = update.Encode();
+      is_complete = Transfer(this->fleet.clock, host->network, this->network,
+                             encoded.size());
+      batch = ToBatch(this->fleet.Decode(update, encoded));
+    };
+    try {
+      host->reads.Serve(request, receive);
+    } catch (const CopyBusy& error) {
+      busy->emplace(error);
+      throw;
+    }
+    if (!is_complete) throw StoreError("cut short");
     return batch;
   });
   response.WaitFor(clock, deadline - clock.Now());
+  if (*has_begun) response.Wait();
   SleepFor(kMessageTime);
+  if (*busy) throw CopyBusy(**busy);
   if (!response.IsOver()) throw StoreError("no response in time");
-  auto batch = response.Take();
-  const bool is_complete = Transfer(clock, host->network, this->network,
-                                    MessageBytes(batch.rows), deadline);
-  if (!is_complete) throw StoreError("cut short");
-  return batch;
+  return response.Take();
 }
 
-FleetSimulation::FleetSimulation(int hosts, unsigned seed) : random(seed) {
+FleetSimulation::FleetSimulation(int hosts, unsigned seed,
+                                 std::vector<double> link_mbps)
+    : random(seed) {
+  link_mbps.resize(static_cast<std::size_t>(hosts));
   for (int i = 0; i < hosts; ++i) {
-    this->hosts.push_back(std::make_unique<Host>(*this, i));
+    const auto mbps = link_mbps[static_cast<std::size_t>(i)];
+    this->hosts.push_back(std::make_unique<Host>(*this, i, mbps));
   }
 }
 
@@ -451,10 +480,6 @@
   this->hosts.at(static_cast<std::size_t>(host))->link.loses_next = true;
 }
 
-auto FleetSimulation::SetBandwidth(int host, double mbps) -> void {
-  this->hosts.at(static_cast<std::size_t>(host))->network.SetBandwidth(mbps);
-}
-
 auto FleetSimulation::Isolate(int host, bool is_isolated) -> void {
   auto& isolated = *this->hosts.at(static_cast<std::size_t>(host));
   isolated.is_isolated = is_isolated;
@@ -526,6 +551,16 @@
          longest.change->value + " on host " + std::to_string(longest.host);
 }
 
+auto FleetSimulation::Decode(const TableUpdate& update,
+                             const std::string& encoded) -> TableUpdate {
+  if (!update.compressed_rows) return TableUpdate::Decode(encoded);
+  auto& rows = this->decoded[update.compressed_rows];
+  if (rows.empty()) rows = TableUpdate::Decode(encoded).rows;
+  auto decoded = update;
+  decoded.rows = rows;
+  return decoded;
+}
+
 auto FleetSimulation::FindHost(const std::string& endpoint) -> Host* {
   for (auto& host : this->hosts) {
     if (host->endpoint == endpoint) return host.get();
--- a/tests/router/fleet_simulation.h
+++ b/tests/router/fleet_simulation.h
@@ -28,7 +28,9 @@
 /// by messages that take some milliseconds.
 class FleetSimulation {
  public:
-  FleetSimulation(int hosts, unsigned seed);
+  /// @param link_mbps  the bandwidth of each host's link; all are unlimited if
+  ///   empty.
+  FleetSimulation(int hosts, unsigned seed, std::vector<double> link_mbps = {});
   ~FleetSimulation();
 
   /// Runs the fleet until the body, in a fiber of it, returns.
@@ -44,8 +46,6 @@
   auto SetAccess(int host, StoreAccess access) -> void;
   /// The response to the host's next call to the store is lost.
   auto LoseNextResponse(int host) -> void;
-  /// Sets the bandwidth of the host's link, which is unlimited at first.
-  auto SetBandwidth(int host, double mbps) -> void;
   /// The host reaches neither the store nor the other hosts, until it does
   /// again.
   auto Isolate(int host, bool is_isolated) -> void;
@@ -105,6 +105,10 @@
   /// @return the bytes of the store's response with the changes of a table.
   [[nodiscard]] auto FeedBytes(const std::string& table,
                                StoreVersion after) const -> std::size_t;
+  /// @return the decoded message; compressed rows are decoded once for all
+  /// hosts.
+  auto Decode(const TableUpdate& update, const std::string& encoded)
+      -> TableUpdate;
   auto FindHost(const std::string& endpoint) -> Host*;
 
   ManualClock clock;
@@ -115,6 +119,7 @@
   SimulatedLink store_link{this->clock, 0};
   std::vector<Change> changes;
   std::vector<WrittenRow> written_rows;
+  std::map<std::shared_ptr<const std::string>, std::vector<StoreRow>> decoded;
   std::vector<std::unique_ptr<Host>> hosts;
 };
 
--- a/tests/router/large_row_test.cc
+++ b/tests/router/large_row_test.cc
@@ -25,6 +25,15 @@
   milliseconds bound;
 };
 
+auto MakeLinks(const Deployment& deployment) -> std::vector<double> {
+  std::vector<double> links;
+  for (int i = 0; i < deployment.hosts; ++i) {
+    const bool is_fast = i % kHostsPerFastLink == 1;
+    links.push_back(is_fast ? kFastLinkMbps : deployment.slow_link_mbps);
+  }
+  return links;
+}
+
 /// @return a row with a version and routes, as operators write it.
 auto MakeRoutes(int version) -> std::string {
   std::mt19937 random(static_cast<unsigned>(version));
@@ -42,14 +51,6 @@
 class LargeRowTest
     : public testing::TestWithParam<std::tuple<Deployment, milliseconds>> {
  protected:
-  LargeRowTest() {
-    const auto slow = std::get<0>(GetParam()).slow_link_mbps;
-    for (int i = 0; i < this->fleet.Hosts(); ++i) {
-      const bool is_fast = i % kHostsPerFastLink == 1;
-      this->fleet.SetBandwidth(i, is_fast ? kFastLinkMbps : slow);
-    }
-  }
-
   auto PutRoutes() -> void {
     this->fleet.Put("routes", "config", MakeRoutes(++this->version));
   }
@@ -79,7 +80,8 @@
     }
   }
 
-  FleetSimulation fleet{std::get<0>(GetParam()).hosts, 1};
+  FleetSimulation fleet{std::get<0>(GetParam()).hosts, 1,
+                        MakeLinks(std::get<0>(GetParam()))};
   int version = 1;
 };
 
--- a/tests/router/peer_exchange_test.cc
+++ b/tests/router/peer_exchange_test.cc
@@ -26,6 +26,7 @@
   SteadyClock clock;
   MemoryStore store(clock);
   RelayedStore relayed(store, clock, {}, Duration(0));
+  TableReadServer reads(relayed, store, clock, 0, 1);
   KnownHosts hosts(clock, "", 1);
   RouterSettings settings;
   settings.peers = {"127.0.0.1", TestPort(0)};
@@ -38,7 +39,7 @@
   KeyCoordinator coordinator(store, servers, clock, directory, {},
                              [](const OwnerUpdate& /*update*/) {});
   PeerExchange exchange(settings, clock, loads, owners, fleet, quarantine,
-                        relayed, store, hosts, Duration(0));
+                        relayed, reads, hosts, Duration(0));
   FiberLoop loop;
   RunInFiber(loop, [&] {
     exchange.Start(loop, coordinator);
@@ -83,6 +84,7 @@
   SteadyClock clock;
   MemoryStore store(clock);
   RelayedStore relayed(store, clock, {}, Duration(0));
+  TableReadServer reads(relayed, store, clock, 0, 1);
   KnownHosts hosts(clock, "", 1);
   RouterSettings settings;
   settings.peers = {"127.0.0.1", TestPort(1)};
@@ -100,7 +102,7 @@
   SlowCoordinator slow;
   HttpServer slow_server(LocalServerOptions(TestPort(2)), slow);
   PeerExchange exchange(settings, clock, loads, owners, fleet, quarantine,
-                        relayed, store, hosts, Duration(0));
+                        relayed, reads, hosts, Duration(0));
   FiberLoop loop;
   RunInFiber(loop, [&] {
     slow_server.Listen(loop);
--- a/tests/router/peer_reads_test.cc
+++ b/tests/router/peer_reads_test.cc
@@ -14,11 +14,11 @@
 /// A host that reads its store for others.
 class ReadingHost : public HttpHandler {
  public:
-  explicit ReadingHost(StoreReader& store) : store(store) {}
+  explicit ReadingHost(TableReadServer& reads) : reads(reads) {}
 
   auto Handle(HttpExchange& exchange) -> void override {
     try {
-      RespondToStoreRead(exchange, this->store, seconds(7));
+      RespondToStoreRead(exchange, this->reads);
     } catch (const InputError&) {
       exchange.Send(HttpResponse{http::status::bad_request, 11});
     }
@@ -26,7 +26,7 @@
   auto OnBadInput(const std::string& /*what*/) -> void override {}
 
  private:
-  StoreReader& store;
+  TableReadServer& reads;
 };
 
 class PeerReadsTest : public testing::Test {
@@ -51,13 +51,20 @@
 
   SteadyClock clock;
   MemoryStore store{this->clock};
-  ReadingHost host{this->store};
+  ManualClock copies_clock;
+  RelayedStore copies{this->store, this->copies_clock, {"shared"}, Duration(0)};
+  TableReadServer reads{this->copies, this->store, this->clock, 10, 1};
+  ReadingHost host{this->reads};
   HttpServer server{LocalServerOptions(TestPort(8)), this->host};
   HttpPeerLink link;
 };
 
 TEST_F(PeerReadsTest, ReadsTablesAndChanges) {
   this->Run([this] {
+    TableUpdate update;
+    update.table = "shared";
+    update.store_up_for = seconds(7);
+    this->copies.OnUpdates({update}, this->copies_clock.Now());
     this->store.Put({"t", "p", "a"}, "1");
     this->store.Put({"t", "", "b"}, std::string("\0\xff", 2));
     StoreReadRequest request;
--- a/tests/router/simulated_link.h
+++ b/tests/router/simulated_link.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "runtime/runtime.h"
+#include "store/store.h"
 
 namespace currantbeam {
 
@@ -23,6 +24,8 @@
   auto SetBandwidth(double bandwidth_mbps) -> void {
     this->mbps = bandwidth_mbps;
   }
+  /// @return Mbit/s; 0 if it is unlimited.
+  [[nodiscard]] auto Bandwidth() const -> double { return this->mbps; }
   [[nodiscard]] auto TotalBytes() const -> std::size_t {
     return this->total_bytes;
   }
@@ -42,16 +45,17 @@
 
 /// Transfers bytes over two links in small parts, which parts of other
 /// transfers come between.
-/// @param deadline  when the receiver gives up.
-/// @return whether all bytes arrived before.
+/// @return whether all bytes arrived; false if the receiver gave up since there
+///   was no progress.
 inline auto Transfer(const Clock& clock, SimulatedLink& from, SimulatedLink& to,
-                     std::size_t bytes, TimePoint deadline) -> bool {
+                     std::size_t bytes) -> bool {
   constexpr std::size_t kPartBytes = 16 * 1024;
   while (bytes != 0) {
     const auto part = std::min(bytes, kPartBytes);
+    const auto give_up_at = clock.Now() + kStallTimeout;
     const auto arrival = std::max(from.Enqueue(part), to.Enqueue(part));
-    SleepFor(std::min(arrival, deadline) - clock.Now());
-    if (arrival > deadline) return false;
+    SleepFor(std::min(arrival, give_up_at) - clock.Now());
+    if (arrival > give_up_at) return false;
     bytes -= part;
   }
   return true;
--- a/tests/servers/gateway_shutdown_test.cc
+++ b/tests/servers/gateway_shutdown_test.cc
@@ -20,7 +20,7 @@
 constexpr auto kPollInterval = std::chrono::milliseconds(5);
 constexpr int kIncompleteRequests = 8;
 constexpr int kMaxPolls = 5000;
-constexpr auto kClientTimeout = std::chrono::seconds(20);
+constexpr auto kClientTimeout = std::chrono::milliseconds(20'000);
 constexpr const char* kWorkUs = "60000000";
 /// How many requests a gateway sends at first to a server with four slots.
 constexpr int kInitialConcurrency = 2;
--- a/tests/store/peer_reader_test.cc
+++ b/tests/store/peer_reader_test.cc
@@ -141,7 +141,8 @@
     return MemoryStore::Follow(table, after, wait);
   }
 
-  [[nodiscard]] auto IsReceiving() const -> bool override {
+  [[nodiscard]] auto IsReceiving(const std::string& /*table*/) const
+      -> bool override {
     return this->is_receiving;
   }
 
