Make whole-table reads and calls that are alike once, also after a restore

After a restore of the store all hosts read the whole table: from the store, through up to nine other hosts at once, and for up to nine others.

- A host's own calls and those that it makes for others join if they are alike (CallJoiningStore), unless the first one is late.
- A whole table is asked for through other hosts only once the store is late, and the next group of hosts after 0.4 s.

--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -85,6 +85,7 @@
   LoadRecorder loads;
   FleetSize fleet;
   CircuitBreakerStore own_store;
+  CallJoiningStore joined_store;
   KnownHosts hosts;
   HttpPeerLink peer_link;
   PeerReader peer_reader;
--- a/src/store/peer_backed_store.cc
+++ b/src/store/peer_backed_store.cc
@@ -46,7 +46,7 @@
       [this, table, partition](milliseconds /*wait*/) {
         return this->peers.Read(table, partition);
       },
-      kNoWait, kReadPatience);
+      kNoWait, kReadPatience, true);
 }
 
 auto PeerBackedStore::Follow(const std::string& table, StoreVersion after,
@@ -59,19 +59,22 @@
       [this, table, after](milliseconds max_wait) {
         return this->peers.Follow(table, after, max_wait);
       },
-      wait, kFollowPatience);
+      wait, kFollowPatience, false);
 }
 
 auto PeerBackedStore::FirstResponse(const std::string& table,
                                     const ReadCall& from_store,
                                     const ReadCall& from_peers,
-                                    milliseconds wait, Duration patience)
-    -> RowBatch {
+                                    milliseconds wait, Duration patience,
+                                    bool is_whole_table) -> RowBatch {
   const bool is_in_doubt = this->IsInDoubt();
   ReadRace race;
   const auto first_call = this->StartFirstCall(
       race, [from_store, wait] { return from_store(wait); });
-  race.WaitFor(this->clock, is_in_doubt ? Duration(0) : wait + patience);
+  // A whole table is large, so it is asked for in several ways only if the
+  // store is late.
+  const bool asks_at_once = is_in_doubt && !is_whole_table;
+  race.WaitFor(this->clock, asks_at_once ? Duration(0) : wait + patience);
   while (!race.IsOver() && this->store.IsReceiving(table)) {
     race.WaitFor(this->clock, kRetryInterval);
   }
--- a/src/store/peer_backed_store.h
+++ b/src/store/peer_backed_store.h
@@ -45,7 +45,7 @@
   ///   other hosts are asked, too.
   auto FirstResponse(const std::string& table, const ReadCall& from_store,
                      const ReadCall& from_peers, std::chrono::milliseconds wait,
-                     Duration patience) -> RowBatch;
+                     Duration patience, bool is_whole_table) -> RowBatch;
   auto StartFirstCall(ReadRace& race, ReadRace::Call from_store)
       -> std::shared_ptr<FirstCall>;
   /// @return whether the store is late, or failed at the last call.
--- a/src/store/peer_reader.cc
+++ b/src/store/peer_reader.cc
@@ -12,9 +12,9 @@
 /// take.
 constexpr auto kFollowTimeout = std::chrono::milliseconds(300);
 constexpr auto kReadTimeout = std::chrono::milliseconds(1000);
-/// How much longer than the wait a group of hosts may take before the next one
-/// is asked, too.
-constexpr Duration kPatience = std::chrono::milliseconds(150);
+constexpr Duration kFollowPatience = std::chrono::milliseconds(150);
+/// A whole table takes longer, also from the store to the host that is asked.
+constexpr Duration kReadPatience = std::chrono::milliseconds(400);
 /// Hosts in a group; several, as the store may reject many hosts.
 constexpr std::size_t kHostsAsked = 3;
 constexpr int kGroups = 3;
@@ -30,7 +30,7 @@
   StoreReadRequest request;
   request.table = table;
   request.partition = partition;
-  return this->Ask(request, kReadTimeout);
+  return this->Ask(request, kReadTimeout, kReadPatience);
 }
 
 auto PeerReader::Follow(const std::string& table, StoreVersion after,
@@ -39,11 +39,12 @@
   request.table = table;
   request.after = after;
   request.wait = wait;
-  return this->Ask(request, wait + kFollowTimeout);
+  return this->Ask(request, wait + kFollowTimeout, kFollowPatience);
 }
 
 auto PeerReader::Ask(const StoreReadRequest& request,
-                     std::chrono::milliseconds timeout) -> RowBatch {
+                     std::chrono::milliseconds timeout, Duration patience)
+    -> RowBatch {
   if (this->clock.Now() < this->paused_until) {
     throw StoreError("store: other hosts are not asked again yet");
   }
@@ -58,7 +59,7 @@
         return this->AskHost(endpoint, read, timeout);
       });
     }
-    race.WaitFor(this->clock, read.wait + kPatience);
+    race.WaitFor(this->clock, read.wait + patience);
     // The first group has waited for changes already.
     read.wait = std::chrono::milliseconds(0);
     endpoints = this->hosts.Choose(kHostsAsked);
--- a/src/store/peer_reader.h
+++ b/src/store/peer_reader.h
@@ -22,8 +22,10 @@
               std::chrono::milliseconds wait) -> RowBatch override;
 
  private:
-  auto Ask(const StoreReadRequest& request, std::chrono::milliseconds timeout)
-      -> RowBatch;
+  /// @param patience  how much longer than the wait a group of hosts may take
+  ///   before the next one is asked, too.
+  auto Ask(const StoreReadRequest& request, std::chrono::milliseconds timeout,
+           Duration patience) -> RowBatch;
   /// Asks one host, and records whether it could read the store.
   auto AskHost(const std::string& endpoint, const StoreReadRequest& request,
                std::chrono::milliseconds timeout) -> RowBatch;
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -76,8 +76,9 @@
 
 auto RelayedStore::ReadDirectly(SharedTable& shared, const std::string& table)
     -> RowBatch {
-  const auto requested_at = this->clock.Now();
+  const auto called_at = this->clock.Now();
   auto batch = this->store.Read(table, "");
+  const auto requested_at = called_at - batch.age;
   const auto last_version = shared.table.LastVersion();
   const bool is_comparable =
       last_version.number != 0 && last_version.epoch == batch.version.epoch;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -4,6 +4,7 @@
 /// Public header of the store library: the client of the persistent store,
 /// whose tables have conditional transactions and change feeds.
 
+#include "store/call_joining_store.h"
 #include "store/circuit_breaker_store.h"
 #include "store/copy_fetcher.h"
 #include "store/known_hosts.h"
--- a/src/store/table_read_server.cc
+++ b/src/store/table_read_server.cc
@@ -12,11 +12,6 @@
 constexpr std::size_t kMaxReceivers = 64;
 /// The number of other hosts that are named to a host that is turned away.
 constexpr std::size_t kReceiversNamed = 4;
-/// The calls have timeouts of their own, which are shorter.
-constexpr auto kMaxCallTime = std::chrono::minutes(2);
-/// A call that has no response after this time may have lost it, and others
-/// don't wait for it.
-constexpr Duration kMaxResponseTime = std::chrono::milliseconds(100);
 /// Rows of at least this size are sent compressed.
 constexpr std::size_t kMinCompressedBytes = 4 * 1024;
 
@@ -48,11 +43,9 @@
 }  // namespace
 
 TableReadServer::TableReadServer(RelayedStore& copies, StoreReader& own_store,
-                                 const Clock& clock, double link_mbps,
-                                 unsigned seed)
+                                 double link_mbps, unsigned seed)
     : copies(copies),
       own_store(own_store),
-      clock(clock),
       max_bytes_in_flight(static_cast<std::size_t>(link_mbps * kMaxLinkSeconds *
                                                    kBytesPerMegabit)),
       random(seed) {}
@@ -108,61 +101,24 @@
 
 auto TableReadServer::ReadStore(const StoreReadRequest& request)
     -> TableUpdate {
-  const auto requested_at = this->clock.Now();
-  const auto call = this->JoinCall(request);
-  if (call->error) std::rethrow_exception(call->error);
+  const auto store_up_for = this->copies.StoreUpFor();
+  auto batch =
+      request.after
+          ? this->own_store.Follow(request.table, *request.after, request.wait)
+          : this->own_store.Read(request.table, request.partition);
   TableUpdate update;
   update.table = request.table;
   update.is_full = !request.after.has_value();
-  update.version = call->batch->version;
-  update.age = requested_at - call->started_at;
-  update.store_time = call->batch->store_time;
-  update.store_up_for = call->store_up_for;
+  update.version = batch.version;
+  update.age = batch.age;
+  update.store_time = batch.store_time;
+  update.store_up_for = std::max(store_up_for - batch.age, Duration(0));
   // The changes are of all partitions, and the message names none.
-  for (const auto& row : call->batch->rows) {
-    if (row.name.partition == request.partition) update.rows.push_back(row);
+  for (auto& row : batch.rows) {
+    if (row.name.partition != request.partition) continue;
+    update.rows.push_back(std::move(row));
   }
   return update;
 }
 
-auto TableReadServer::JoinCall(const StoreReadRequest& request)
-    -> std::shared_ptr<Call> {
-  const CallKey key{request.table, request.partition, request.after,
-                    request.wait.count()};
-  const auto it = this->calls.find(key);
-  if (it != this->calls.end() && this->MayRespond(*it->second, request)) {
-    auto call = it->second;
-    while (!call->batch && !call->error) call->has_ended.WaitFor(kMaxCallTime);
-    return call;
-  }
-  auto call = std::make_shared<Call>();
-  call->started_at = this->clock.Now();
-  call->store_up_for = this->copies.StoreUpFor();
-  this->calls[key] = call;
-  try {
-    call->batch = this->MakeCall(request);
-  } catch (const StoreError&) {
-    call->error = std::current_exception();
-  }
-  const auto own = this->calls.find(key);
-  if (own != this->calls.end() && own->second == call) this->calls.erase(own);
-  call->has_ended.Notify();
-  return call;
-}
-
-auto TableReadServer::MayRespond(const Call& call,
-                                 const StoreReadRequest& request) const
-    -> bool {
-  const auto due_at = call.started_at + request.wait + kMaxResponseTime;
-  return this->clock.Now() < due_at ||
-         this->own_store.IsReceiving(request.table);
-}
-
-auto TableReadServer::MakeCall(const StoreReadRequest& request) -> RowBatch {
-  if (!request.after) {
-    return this->own_store.Read(request.table, request.partition);
-  }
-  return this->own_store.Follow(request.table, *request.after, request.wait);
-}
-
 }  // namespace currantbeam
--- a/src/store/table_read_server.h
+++ b/src/store/table_read_server.h
@@ -2,12 +2,8 @@
 
 #include <deque>
 #include <functional>
-#include <map>
-#include <memory>
-#include <optional>
 #include <random>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "runtime/runtime.h"
@@ -18,8 +14,7 @@
 namespace currantbeam {
 
 /// Reads tables for other hosts: from this host's copy if that has large
-/// changes which they lack, else from the store. Calls to the store that are
-/// alike are made once. Runs on one loop.
+/// changes which they lack, else from the store. Runs on one loop.
 class TableReadServer {
  public:
   /// Sends an update; returns when it has been sent.
@@ -28,27 +23,16 @@
   /// @param own_store  calls the store itself, not other hosts.
   /// @param link_mbps  the bandwidth of this host's link in Mbit/s.
   TableReadServer(RelayedStore& copies, StoreReader& own_store,
-                  const Clock& clock, double link_mbps, unsigned seed);
+                  double link_mbps, unsigned seed);
 
   /// Sends the rows that were asked for.
   /// @throws CopyBusy if too much is being sent from the copies.
   /// @throws HistoryLost if the store said so.
-  /// @throws StoreError if the copy is not newer and only that was asked for,
-  /// or
-  ///   the store does not respond.
+  /// @throws StoreError if the copy is not newer and only that was asked
+  ///   for, or the store does not respond.
   auto Serve(const StoreReadRequest& request, const SendUpdate& send) -> void;
 
  private:
-  /// Table, partition, version and wait of calls that are alike.
-  using CallKey = std::tuple<std::string, std::string,
-                             std::optional<StoreVersion>, std::int64_t>;
-  struct Call {
-    TimePoint started_at{};
-    Duration store_up_for{0};  ///< Until the start.
-    std::optional<RowBatch> batch;
-    std::exception_ptr error;
-    FiberEvent has_ended;
-  };
   /// A host that has received rows of a copy.
   struct Receiver {
     std::string endpoint;
@@ -62,21 +46,13 @@
   ///   one.
   auto ChooseReceivers(const TableUpdate& update) -> std::vector<std::string>;
   auto ReadStore(const StoreReadRequest& request) -> TableUpdate;
-  /// Makes a call, or waits for one that is alike.
-  auto JoinCall(const StoreReadRequest& request) -> std::shared_ptr<Call>;
-  /// @return whether a call's response is arriving or not yet late.
-  [[nodiscard]] auto MayRespond(const Call& call,
-                                const StoreReadRequest& request) const -> bool;
-  auto MakeCall(const StoreReadRequest& request) -> RowBatch;
 
   RelayedStore& copies;
   StoreReader& own_store;
-  const Clock& clock;
   std::size_t max_bytes_in_flight;
   std::mt19937 random;
   std::size_t bytes_in_flight = 0;  ///< Of copies that are being sent.
   std::deque<Receiver> receivers;   ///< The latest ones.
-  std::map<CallKey, std::shared_ptr<Call>> calls;  ///< In flight.
 };
 
 }  // namespace currantbeam
--- a/tests/router/fleet_simulation.cc
+++ b/tests/router/fleet_simulation.cc
@@ -218,8 +218,9 @@
   KnownHosts hosts{this->fleet.clock, this->endpoint,
                    static_cast<unsigned>(this->index)};
   CircuitBreakerStore own_store{this->link, this->fleet.clock};
+  CallJoiningStore joined_store{this->own_store, this->fleet.clock};
   PeerReader peer_reader{this->mail, this->hosts, this->fleet.clock};
-  PeerBackedStore backed_store{this->own_store, this->peer_reader,
+  PeerBackedStore backed_store{this->joined_store, this->peer_reader,
                                this->fleet.clock};
   CopyFetcher fetcher{this->mail, this->fleet.clock, this->endpoint,
                       static_cast<unsigned>(this->index)};
@@ -228,7 +229,7 @@
                      {kRoutes, kBackends},
                      std::chrono::seconds(1),
                      &this->fetcher};
-  TableReadServer reads{this->store, this->own_store, this->fleet.clock,
+  TableReadServer reads{this->store, this->joined_store,
                         this->network.Bandwidth() == 0
                             ? kUnlimitedMbps
                             : this->network.Bandwidth(),
--- a/tests/router/fleet_simulation.h
+++ b/tests/router/fleet_simulation.h
@@ -41,6 +41,9 @@
   auto Put(const std::string& table, const std::string& key,
            const std::string& value) -> void;
   auto Remove(const std::string& table, const std::string& key) -> void;
+  /// Restores the store from a copy of its present state, so that versions
+  /// known so far are void.
+  auto RestoreStore() -> void { this->memory.Restore(this->memory.TakeCopy()); }
   /// @return the index of the active coordinator; -1 if there is none.
   [[nodiscard]] auto Coordinator() const -> int;
   auto SetAccess(int host, StoreAccess access) -> void;
--- a/tests/router/large_row_test.cc
+++ b/tests/router/large_row_test.cc
@@ -97,6 +97,15 @@
   });
 }
 
+TEST_P(LargeRowTest, IsInForceInTimeAfterTheStoreWasRestored) {
+  this->PlayWith([this] {
+    this->SetAccessOfAll(StoreAccess::kRejected);
+    SleepFor(seconds(1));
+    this->fleet.RestoreStore();
+    this->SetAccessOfAll(StoreAccess::kServed);
+  });
+}
+
 TEST_P(LargeRowTest, IsInForceInTimeWhenTheCoordinatorStops) {
   this->PlayWith([this] { this->fleet.Stop(this->fleet.Coordinator()); });
 }
--- a/tests/router/peer_exchange_test.cc
+++ b/tests/router/peer_exchange_test.cc
@@ -26,7 +26,7 @@
   SteadyClock clock;
   MemoryStore store(clock);
   RelayedStore relayed(store, clock, {}, Duration(0));
-  TableReadServer reads(relayed, store, clock, 0, 1);
+  TableReadServer reads(relayed, store, 0, 1);
   KnownHosts hosts(clock, "", 1);
   RouterSettings settings;
   settings.peers = {"127.0.0.1", TestPort(0)};
@@ -84,7 +84,7 @@
   SteadyClock clock;
   MemoryStore store(clock);
   RelayedStore relayed(store, clock, {}, Duration(0));
-  TableReadServer reads(relayed, store, clock, 0, 1);
+  TableReadServer reads(relayed, store, 0, 1);
   KnownHosts hosts(clock, "", 1);
   RouterSettings settings;
   settings.peers = {"127.0.0.1", TestPort(1)};
--- a/tests/router/peer_reads_test.cc
+++ b/tests/router/peer_reads_test.cc
@@ -53,7 +53,7 @@
   MemoryStore store{this->clock};
   ManualClock copies_clock;
   RelayedStore copies{this->store, this->copies_clock, {"shared"}, Duration(0)};
-  TableReadServer reads{this->copies, this->store, this->clock, 10, 1};
+  TableReadServer reads{this->copies, this->store, 10, 1};
   ReadingHost host{this->reads};
   HttpServer server{LocalServerOptions(TestPort(8)), this->host};
   HttpPeerLink link;
--- a/tests/store/copy_fetcher_test.cc
+++ b/tests/store/copy_fetcher_test.cc
@@ -115,8 +115,9 @@
   ManualClock clock;
   MemoryStore memory{this->clock};
   RecordingStore store{this->memory};
+  CallJoiningStore joined{this->store, this->clock};
   RelayedStore copies{this->store, this->clock, {kTable}, Duration(0)};
-  TableReadServer reads{this->copies, this->store, this->clock, 0, 1};
+  TableReadServer reads{this->copies, this->joined, 0, 1};
 };
 
 TEST_F(TableReadServerTest, SendsLargeChangesFromTheCopyCompressed) {
