--- a/src/store/call_joining_store.cc
+++ b/src/store/call_joining_store.cc
@@ -57,8 +57,7 @@
 auto CallJoiningStore::MayRespond(const Call& call, const Key& key) const
     -> bool {
   const auto due_at = call.started_at + std::get<3>(key) + kMaxResponseTime;
-  return this->clock.Now() < due_at ||
-         this->store.IsReceiving(std::get<0>(key));
+  return this->clock.Now() < due_at || this->store.IsReceiving();
 }
 
 }  // namespace currantbeam
--- a/src/store/call_joining_store.h
+++ b/src/store/call_joining_store.h
@@ -30,9 +30,8 @@
   auto Write(const StoreWrite& write) -> WriteResult override {
     return this->store.Write(write);
   }
-  [[nodiscard]] auto IsReceiving(const std::string& table) const
-      -> bool override {
-    return this->store.IsReceiving(table);
+  [[nodiscard]] auto IsReceiving() const -> bool override {
+    return this->store.IsReceiving();
   }
 
  private:
--- a/src/store/circuit_breaker_store.h
+++ b/src/store/circuit_breaker_store.h
@@ -24,9 +24,8 @@
   auto Follow(const std::string& table, StoreVersion after,
               std::chrono::milliseconds wait) -> RowBatch override;
   auto Write(const StoreWrite& write) -> WriteResult override;
-  [[nodiscard]] auto IsReceiving(const std::string& table) const
-      -> bool override {
-    return this->store.IsReceiving(table);
+  [[nodiscard]] auto IsReceiving() const -> bool override {
+    return this->store.IsReceiving();
   }
 
   /// @return the latest time at which the store is known to have been
--- a/src/store/peer_backed_store.cc
+++ b/src/store/peer_backed_store.cc
@@ -39,7 +39,6 @@
 auto PeerBackedStore::Read(const std::string& table,
                            const std::string& partition) -> RowBatch {
   return this->FirstResponse(
-      table,
       [this, table, partition](milliseconds /*wait*/) {
         return this->store.Read(table, partition);
       },
@@ -52,7 +51,6 @@
 auto PeerBackedStore::Follow(const std::string& table, StoreVersion after,
                              std::chrono::milliseconds wait) -> RowBatch {
   return this->FirstResponse(
-      table,
       [this, table, after](milliseconds max_wait) {
         return this->store.Follow(table, after, max_wait);
       },
@@ -62,8 +60,7 @@
       wait, kFollowPatience, false);
 }
 
-auto PeerBackedStore::FirstResponse(const std::string& table,
-                                    const ReadCall& from_store,
+auto PeerBackedStore::FirstResponse(const ReadCall& from_store,
                                     const ReadCall& from_peers,
                                     milliseconds wait, Duration patience,
                                     bool is_whole_table) -> RowBatch {
@@ -75,7 +72,7 @@
   // store is late.
   const bool asks_at_once = is_in_doubt && !is_whole_table;
   race.WaitFor(this->clock, asks_at_once ? Duration(0) : wait + patience);
-  while (!race.IsOver() && this->store.IsReceiving(table)) {
+  while (!race.IsOver() && this->store.IsReceiving()) {
     race.WaitFor(this->clock, kRetryInterval);
   }
   if (race.HasResponse() || first_call->is_cut_short) return race.Take();
--- a/src/store/peer_backed_store.h
+++ b/src/store/peer_backed_store.h
@@ -43,9 +43,9 @@
   /// @param wait  how long the call may wait for changes.
   /// @param patience  how much longer the store may take to respond before the
   ///   other hosts are asked, too.
-  auto FirstResponse(const std::string& table, const ReadCall& from_store,
-                     const ReadCall& from_peers, std::chrono::milliseconds wait,
-                     Duration patience, bool is_whole_table) -> RowBatch;
+  auto FirstResponse(const ReadCall& from_store, const ReadCall& from_peers,
+                     std::chrono::milliseconds wait, Duration patience,
+                     bool is_whole_table) -> RowBatch;
   auto StartFirstCall(ReadRace& race, ReadRace::Call from_store)
       -> std::shared_ptr<FirstCall>;
   /// @return whether the store is late, or failed at the last call.
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -126,12 +126,10 @@
   /// @throws StoreError if the call fails.
   virtual auto Follow(const std::string& table, StoreVersion after,
                       std::chrono::milliseconds wait) -> RowBatch = 0;
-  /// @return whether a response with rows of the table is arriving, so that the
-  ///   store is not late, however long that takes.
-  [[nodiscard]] virtual auto IsReceiving(const std::string& /*table*/) const
-      -> bool {
-    return false;
-  }
+  /// @return whether a response to any call is arriving. It takes up the link,
+  /// so
+  ///   the response to another call is not late, however long that takes.
+  [[nodiscard]] virtual auto IsReceiving() const -> bool { return false; }
 };
 
 /// A client of the store: tables of versioned rows with conditional
--- a/src/store/table_read_server.cc
+++ b/src/store/table_read_server.cc
@@ -31,15 +31,6 @@
   std::size_t amount;
 };
 
-/// Compresses the rows of the update if they are large.
-auto CompressIfLarge(TableUpdate& update) -> void {
-  std::size_t bytes = 0;
-  for (const auto& row : update.rows) bytes += row.value.size();
-  if (bytes < kMinCompressedBytes) return;
-  update.compressed_rows = std::make_shared<const std::string>(
-      TableUpdate::CompressRows(update.rows));
-}
-
 }  // namespace
 
 TableReadServer::TableReadServer(RelayedStore& copies, StoreReader& own_store,
@@ -66,7 +57,7 @@
   }
   if (request.is_of_copy) throw StoreError("host: the copy is not newer");
   auto update = this->ReadStore(request);
-  CompressIfLarge(update);
+  this->CompressIfLarge(request, update);
   send(update);
 }
 
@@ -121,4 +112,22 @@
   return update;
 }
 
+auto TableReadServer::CompressIfLarge(const StoreReadRequest& request,
+                                      TableUpdate& update) -> void {
+  std::size_t bytes = 0;
+  for (const auto& row : update.rows) bytes += row.value.size();
+  if (bytes < kMinCompressedBytes) return;
+  auto& latest = this->compressed;
+  const bool is_same = latest.rows && latest.table == request.table &&
+                       latest.partition == request.partition &&
+                       latest.after == request.after &&
+                       latest.version == update.version;
+  if (!is_same) {
+    latest = {request.table, request.partition, request.after, update.version,
+              std::make_shared<const std::string>(
+                  TableUpdate::CompressRows(update.rows))};
+  }
+  update.compressed_rows = latest.rows;
+}
+
 }  // namespace currantbeam
--- a/src/store/table_read_server.h
+++ b/src/store/table_read_server.h
@@ -2,6 +2,8 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -33,6 +35,14 @@
   auto Serve(const StoreReadRequest& request, const SendUpdate& send) -> void;
 
  private:
+  /// The latest rows from the store that were compressed.
+  struct CompressedRows {
+    std::string table;
+    std::string partition;
+    std::optional<StoreVersion> after;
+    StoreVersion version;
+    std::shared_ptr<const std::string> rows;
+  };
   /// A host that has received rows of a copy.
   struct Receiver {
     std::string endpoint;
@@ -46,6 +56,10 @@
   ///   one.
   auto ChooseReceivers(const TableUpdate& update) -> std::vector<std::string>;
   auto ReadStore(const StoreReadRequest& request) -> TableUpdate;
+  /// Compresses the rows if they are large, once for all hosts that ask for the
+  /// same ones.
+  auto CompressIfLarge(const StoreReadRequest& request, TableUpdate& update)
+      -> void;
 
   RelayedStore& copies;
   StoreReader& own_store;
@@ -53,6 +67,7 @@
   std::mt19937 random;
   std::size_t bytes_in_flight = 0;  ///< Of copies that are being sent.
   std::deque<Receiver> receivers;   ///< The latest ones.
+  CompressedRows compressed;
 };
 
 }  // namespace currantbeam
--- a/tests/router/fleet_simulation.cc
+++ b/tests/router/fleet_simulation.cc
@@ -95,7 +95,7 @@
     this->End(kReadTimeout);
     std::size_t bytes = 0;
     for (const auto& row : batch.rows) bytes += StoreRowBytes(row.value);
-    this->Receive(table, bytes);
+    this->Receive(bytes);
     return batch;
   }
   auto Follow(const std::string& table, StoreVersion after, milliseconds wait)
@@ -110,13 +110,11 @@
       batch = this->fleet.memory.Follow(table, after, wait);
     }
     this->End(timeout);
-    this->Receive(table, this->fleet.FeedBytes(table, after));
+    this->Receive(this->fleet.FeedBytes(table, after));
     return batch;
   }
-  [[nodiscard]] auto IsReceiving(const std::string& table) const
-      -> bool override {
-    const auto arriving = this->arriving_responses.find(table);
-    return arriving != this->arriving_responses.end() && arriving->second != 0;
+  [[nodiscard]] auto IsReceiving() const -> bool override {
+    return this->arriving_responses != 0;
   }
   auto Write(const StoreWrite& write) -> WriteResult override {
     try {
@@ -152,12 +150,11 @@
     SleepFor(timeout);
     throw StoreError("lost");
   }
-  auto Receive(const std::string& table, std::size_t bytes) -> void {
-    auto& arriving = this->arriving_responses[table];
-    ++arriving;
+  auto Receive(std::size_t bytes) -> void {
+    ++this->arriving_responses;
     const bool is_complete = Transfer(this->fleet.clock, this->fleet.store_link,
                                       this->network, bytes);
-    --arriving;
+    --this->arriving_responses;
     if (!is_complete) throw ResponseCutShort("cut short");
   }
   auto FailIfCut(Duration timeout) const -> void {
@@ -169,7 +166,7 @@
 
   FleetSimulation& fleet;
   SimulatedLink& network;
-  std::map<std::string, int> arriving_responses;
+  int arriving_responses = 0;
 };
 
 /// Carries a host's reads to other hosts.
--- a/tests/store/peer_reader_test.cc
+++ b/tests/store/peer_reader_test.cc
@@ -141,8 +141,7 @@
     return MemoryStore::Follow(table, after, wait);
   }
 
-  [[nodiscard]] auto IsReceiving(const std::string& /*table*/) const
-      -> bool override {
+  [[nodiscard]] auto IsReceiving() const -> bool override {
     return this->is_receiving;
   }
 
