Log the age of the copy at the send, late loops, and a digest of each copy

The logs gave the age of the servers' table when a server was chosen, not when the request was sent, and nothing said how late a loop is, so a loop that is behind could not be told from a recent copy without the row (H2, H3 of docs/incidents/2026-12-06-requests-on-old-copies.md). 300 and 306 have sent_age_us now, 918 and a histogram say how late a loop ran, and 913 has a digest of the copy, which is the same on all hosts with the same version. scripts/row_delays.py reads all three.

relayed_store_test: 51 of 51, event_catalogue_test passed.

--- a/scripts/row_delays.py
+++ b/scripts/row_delays.py
@@ -21,6 +21,8 @@
 ROUTES_IN_FORCE = 900
 BACKEND_KNOWN = 902
 BACKEND_GONE = 903
+LOOP_LATE = 918
+REQUEST_SENT = (300, 306)
 TABLE_UPDATED = 913
 KEEPER_ROLE = 800
 
@@ -95,9 +97,44 @@
         return self.latest[index - 1] if index else None
 
 
+class Hosts:
+    """What the hosts state of themselves: their copies at a version, their
+    loops, and the age of the servers' table when they sent requests."""
+
+    def __init__(self):
+        self.digests = collections.defaultdict(set)  # By table and version.
+        self.loop_delays = []  # (milliseconds, host)
+        self.sent_ages = []  # (milliseconds, host)
+
+    def add(self, event):
+        """Records what the event states."""
+        if event["event"] == TABLE_UPDATED and "digest" in event:
+            version = event["store_epoch"], event["store_version"]
+            self.digests[event["table"], version].add(event["digest"])
+        elif event["event"] == LOOP_LATE:
+            self.loop_delays.append((event["late_ms"], event["host"]))
+        elif event["event"] in REQUEST_SENT and "sent_age_us" in event:
+            self.sent_ages.append((event["sent_age_us"] / 1000, event["host"]))
+
+    def report(self):
+        """Prints them."""
+        unequal = [name for name, digests in self.digests.items()
+                   if len(digests) > 1]
+        print(f"versions known: {len(self.digests)}; on which hosts differ:",
+              len(unequal), *unequal[:3])
+        for what, values in (("loops late", self.loop_delays),
+                             ("copies when requests were sent",
+                              self.sent_ages)):
+            values.sort()
+            longest = " ".join(f"{ms:.0f} ({host})"
+                               for ms, host in values[-3:])
+            print(f"{what}: {len(values)}, longest in ms {longest}")
+
+
 def collect(events):
     """Returns the changes, the copies, the starts of the hosts, the
-    coordinators and the end."""
+    coordinators, the end, and what the hosts state of themselves."""
+    hosts = Hosts()
     changes = {}
     copies = collections.defaultdict(Copies)
     started = {}
@@ -115,6 +152,7 @@
     for event in events:
         host, at_ms, number = event["host"], event["at_ms"], event["event"]
         end = max(end, at_ms)
+        hosts.add(event)
         if number == PROCESS_STARTED:
             started[host] = at_ms
         elif number == KEEPER_ROLE and event.get("role") == "active":
@@ -136,7 +174,7 @@
                 last = last_versions.get((host, "servers"))
                 use("gone", event["server"], "servers", event,
                     None if last is None else last + 1)
-    return changes, copies, started, coordinators, end
+    return changes, copies, started, coordinators, end, hosts
 
 
 def percentile(values, share):
@@ -146,7 +184,7 @@
 
 def report(logs, bound_ms, show):
     """Prints the delays by kind of change, and the latest hosts."""
-    changes, copies, started, coordinators, end = logs
+    changes, copies, started, coordinators, end, stated = logs
     late = []
     delays = collections.defaultdict(list)
     uppers = collections.defaultdict(list)
@@ -188,6 +226,7 @@
         print("not found in the log of a running host (its line may be cut):",
               ", ".join(f"{host} {kind} {count}"
                         for (kind, host), count in missing.most_common(show)))
+    stated.report()
     over = [entry for entry in late if entry[0] > bound_ms]
     hosts = sorted({entry[4] for entry in over})
     print(f"upper bounds over {bound_ms:.0f} ms: {len(over)}, on "
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -76,5 +76,6 @@
 constexpr LogEvent kStoreCallFailed{915, LogLevel::kWarn, "store-call-failed"};
 constexpr LogEvent kReadThroughPeer{916, LogLevel::kInfo, "read-through-peer"};
 constexpr LogEvent kCopyFetched{917, LogLevel::kInfo, "copy-fetched"};
+constexpr LogEvent kLoopLate{918, LogLevel::kInfo, "loop-late"};
 
 }  // namespace currantbeam::events
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -52,9 +52,11 @@
   RequestPhase phase = RequestPhase::kConnecting;
   ServerId server;             ///< The server of the last attempt.
   TableStatus servers_status;  ///< When the last attempt's server was chosen.
-  int send_count = 0;          ///< Completed attempts that sent the request.
-  bool is_sent = false;        ///< The running attempt has begun to send it.
-  bool may_have_run = false;   ///< At the server of an earlier attempt.
+  /// The age of the copy of the servers' table when the last attempt was sent.
+  Duration sent_age{0};
+  int send_count = 0;         ///< Completed attempts that sent the request.
+  bool is_sent = false;       ///< The running attempt has begun to send it.
+  bool may_have_run = false;  ///< At the server of an earlier attempt.
   /// Not used by the attempts that follow.
   std::vector<RefusedConnection> refused_connections;
 
@@ -108,13 +110,15 @@
       this->exchange.Abort();
     }
   }
-  /// Appends what was known of the servers when the last one was chosen.
+  /// Appends what was known of the servers when the last one was chosen, and
+  /// when the request was sent.
   auto AppendServersStatus(std::vector<LogField>& fields) const -> void {
     const auto& status = this->servers_status;
     if (status.source == RowSource::kNone) return;
     fields.emplace_back("servers_version", status.version.number);
     fields.emplace_back("servers_age_us", status.age.count());
     fields.emplace_back("servers_source", ToString(status.source));
+    fields.emplace_back("sent_age_us", this->sent_age.count());
   }
   [[nodiscard]] auto RequestId() const -> std::string_view {
     return ToView(this->exchange.Request()[this->state.headers.request_id]);
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -23,6 +23,7 @@
 constexpr Duration kRestartTimeout = std::chrono::milliseconds(300);
 constexpr auto kPeriodicTaskInterval = std::chrono::milliseconds(200);
 constexpr int kTaskRunsPerSettingsPoll = 5;
+constexpr Duration kMinLoggedLoopDelay = std::chrono::milliseconds(100);
 constexpr auto kQuarantineStoreInterval = std::chrono::seconds(1);
 constexpr auto kBackendBatchInterval = std::chrono::milliseconds(250);
 /// The share of the process's memory that bodies of requests may use.
@@ -188,7 +189,9 @@
 
 auto RouterProcess::RunPeriodicTasks() -> void {
   for (int run = 0;; ++run) {
+    const auto due_at = this->clock.Now() + kPeriodicTaskInterval;
     SleepFor(kPeriodicTaskInterval);
+    this->RecordLoopDelay(this->clock.Now() - due_at);
     this->backends_listener.ApplyTimeouts();
     this->state.quarantine.Expire(this->clock.Now());
     FlushLog();
@@ -197,6 +200,12 @@
   }
 }
 
+auto RouterProcess::RecordLoopDelay(Duration delay) -> void {
+  this->loop_delays.Record(delay);
+  if (delay < kMinLoggedLoopDelay) return;
+  Log(events::kLoopLate, {{"late_ms", Milliseconds(delay)}});
+}
+
 auto RouterProcess::ApplyFleetSize() -> void {
   const int hosts = this->fleet.Hosts(this->clock.Now());
   this->directory.SetGateways(hosts);
@@ -295,6 +304,8 @@
   AppendGauges(text, gauges);
   this->state.metrics.AppendTo(text);
   this->store.Delays().AppendTo(text);
+  text += "# TYPE currantbeam_loop_delay_seconds histogram\n";
+  this->loop_delays.AppendTo(text, "currantbeam_loop_delay_seconds", "");
 }
 
 auto RouterProcess::ReadinessHandler::Handle(HttpExchange& exchange) -> void {
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -59,6 +59,8 @@
   /// Periodically polls the settings, removes lapsed backend servers and
   /// updates the number of hosts.
   auto RunPeriodicTasks() -> void;
+  /// Records how late the loop ran a task.
+  auto RecordLoopDelay(Duration delay) -> void;
   auto PollSettings() -> void;
   /// Reads the quarantined requests from the store after the start, and stores
   /// them while this host has the active KeyCoordinator.
@@ -107,6 +109,7 @@
   BackendsListener backends_listener;
   StopSignal stop_signal;
   ReloadSignal reload_signal;
+  LatencyHistogram loop_delays;   ///< How late the loop ran periodic tasks.
   TimePoint routes_applied_at{};  ///< When the routes were applied here.
   bool draining = false;
 };
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -47,6 +47,9 @@
     return AttemptOutcome::kClientDisconnected;
   }
   this->request.upstream = connection.get();
+  if (this->request.state.servers_status) {
+    this->request.sent_age = this->request.state.servers_status().age;
+  }
   this->was_sent = true;
   this->request.is_sent = true;
   this->request.phase = RequestPhase::kAwaitingAnswer;
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -232,8 +232,9 @@
        {"rows", batch.rows.size()},
        {"new_rows", new_rows},
        {"bytes", bytes},
-       {"store_version", batch.version.number},
-       {"store_epoch", batch.version.epoch},
+       {"store_version", shared.table.Version().number},
+       {"store_epoch", shared.table.Version().epoch},
+       {"digest", shared.table.Digest()},
        {"age_ms", Milliseconds(now - shared.table.AsOf())},
        {"max_delay_ms", Milliseconds(max_delay)}});
 }
--- a/src/store/relayed_table.cc
+++ b/src/store/relayed_table.cc
@@ -1,5 +1,7 @@
 #include "store/relayed_table.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -15,6 +17,13 @@
 /// Versions from which compressed rows are kept.
 constexpr std::size_t kMaxCompressed = 8;
 
+/// @return a hash of the row's key and version; 0 for a row that is deleted.
+auto RowHash(const StoreRow& row) -> std::uint32_t {
+  if (row.is_deleted || row.version.number == 0) return 0;
+  return static_cast<std::uint32_t>(
+      XXH64(row.name.key.data(), row.name.key.size(), row.version.number));
+}
+
 }  // namespace
 
 auto RelayedTable::OnRead(const RowBatch& batch, TimePoint as_of) -> void {
@@ -152,7 +161,11 @@
     return;
   }
   this->rows.clear();
-  for (const auto& row : batch.rows) this->rows[row.name.key] = row;
+  this->digest = 0;
+  for (const auto& row : batch.rows) {
+    this->rows[row.name.key] = row;
+    this->digest ^= RowHash(row);
+  }
   this->version = batch.version;
   this->history_start = batch.version;
   this->gaps.clear();
@@ -177,6 +190,7 @@
   for (const auto& row : whole_table.rows) present.insert(row.name.key);
   for (auto& [key, row] : this->rows) {
     if (row.is_deleted || present.count(key) != 0) continue;
+    this->digest ^= RowHash(row);
     row.value.clear();
     row.is_deleted = true;
     row.written_after = Duration(0);
@@ -189,7 +203,9 @@
   for (const auto& row : batch.rows) {
     if (!row.name.partition.empty()) continue;
     auto& existing = this->rows[row.name.key];
-    if (row.version > existing.version) existing = row;
+    if (row.version <= existing.version) continue;
+    this->digest ^= RowHash(existing) ^ RowHash(row);
+    existing = row;
   }
   this->version = std::max(this->version, batch.version);
   this->DropOldTombstones();
--- a/src/store/relayed_table.h
+++ b/src/store/relayed_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -62,6 +63,8 @@
     const bool is_behind = this->update && !this->update->rows.empty();
     return is_behind ? this->as_of : std::max(this->as_of, this->relayed_as_of);
   }
+  /// @return a hash of the copy's rows; the same for all copies of one version.
+  [[nodiscard]] auto Digest() const -> std::uint32_t { return this->digest; }
   /// @return the highest version that the copy has had; number 0 if none.
   [[nodiscard]] auto LastVersion() const -> StoreVersion { return this->floor; }
   /// @param after  the version of the receiving host's copy; number 0 if it has
@@ -106,6 +109,7 @@
 
   std::string table;
   std::map<std::string, StoreRow> rows;  ///< By key; includes tombstones.
+  std::uint32_t digest = 0;  ///< The exclusive or of the hashes of the rows.
   /// A step of the copy from one version to another without the changes
   /// between.
   struct Gap {
