Add failing tests of requests that are sent on old copies

The fleet simulation sends requests now, by what each host has in use, and takes the time from a server's word that it leaves to the latest send.

--- a/tests/router/fleet_simulation.cc
+++ b/tests/router/fleet_simulation.cc
@@ -16,6 +16,7 @@
 constexpr Duration kReadTimeout = milliseconds(1000);
 constexpr Duration kWriteTimeout = milliseconds(800);
 constexpr Duration kTaskInterval = milliseconds(200);
+constexpr Duration kRequestInterval = milliseconds(100);
 constexpr Duration kBatchDelay = milliseconds(250);
 constexpr std::size_t kHostsPerReply = 4;
 constexpr double kUnlimitedMbps = 1e6;
@@ -204,6 +205,22 @@
     loop.Spawn([this] { this->RunFollower(kRoutes, this->routes); });
   }
 
+  /// Sends a request to each server that this host may send one to.
+  auto RunRequests() -> void {
+    SleepFor(Duration(this->fleet.random() % 100'000));
+    while (true) {
+      std::vector<BackendTargetPtr> targets;
+      for (const auto& [id, target] : this->directory.All()) {
+        targets.push_back(target);
+      }
+      for (const auto& target : targets) {
+        if (!this->MaySend(*target)) continue;
+        this->fleet.OnSend(this->index, target->entry.id.Value());
+      }
+      SleepFor(kRequestInterval);
+    }
+  }
+
   FleetSimulation& fleet;
   int index;
   bool is_stopped = false;
@@ -240,6 +257,9 @@
       this->Options(),    [](const OwnerUpdate& /*update*/) {}};
 
  private:
+  auto MaySend(const BackendTarget& target) -> bool {
+    return !target.entry.is_draining;
+  }
   auto Options() -> KeyCoordinator::Options {
     KeyCoordinator::Options options;
     options.lease.holder = this->endpoint;
@@ -463,6 +483,30 @@
   this->has_changed.Notify();
 }
 
+auto FleetSimulation::StartRequests() -> void {
+  for (auto& host : this->hosts) {
+    FiberLoop::Current().Spawn([&host] { host->RunRequests(); });
+  }
+}
+
+auto FleetSimulation::Leave(const std::string& server) -> void {
+  this->left_at[server] = this->clock.Now();
+  this->Put(kBackends, server, "draining");
+}
+
+auto FleetSimulation::OnSend(int host, const std::string& server) -> void {
+  ++this->sends[{host, server}];
+  const auto left = this->left_at.find(server);
+  if (left == this->left_at.end()) return;
+  this->latest_send =
+      std::max(this->latest_send, this->clock.Now() - left->second);
+}
+
+auto FleetSimulation::Sends(int host, const std::string& server) const -> int {
+  const auto it = this->sends.find({host, server});
+  return it == this->sends.end() ? 0 : it->second;
+}
+
 auto FleetSimulation::Coordinator() const -> int {
   for (const auto& host : this->hosts) {
     if (!host->is_stopped && host->coordinator.IsActive()) return host->index;
--- a/tests/router/fleet_simulation.h
+++ b/tests/router/fleet_simulation.h
@@ -68,6 +68,20 @@
     return this->store_link.TotalBytes();
   }
   auto ForgetChanges() -> void { this->changes.clear(); }
+  /// From now on, each host sends a request to each server that it may send one
+  /// to, ten times a second.
+  auto StartRequests() -> void;
+  /// The server says from now on that it leaves, also when it is asked. The
+  /// store accepts its entry at this time.
+  auto Leave(const std::string& server) -> void;
+  /// @return how long after the server had said that it leaves the latest
+  ///   request was sent to a server.
+  [[nodiscard]] auto LatestSend() const -> std::chrono::milliseconds {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->latest_send);
+  }
+  /// @return how many requests the host has sent to the server.
+  [[nodiscard]] auto Sends(int host, const std::string& server) const -> int;
   /// @return whether the host uses a backend server, draining or not.
   [[nodiscard]] auto IsKnown(int host, const std::string& server) const -> bool;
   [[nodiscard]] auto Hosts() const -> int {
@@ -101,6 +115,7 @@
   };
 
   auto Start() -> void;
+  auto OnSend(int host, const std::string& server) -> void;
   /// The host uses the row with this value; empty if it uses it no longer.
   auto OnUse(int host, const std::string& table, const std::string& key,
              const std::string& value) -> void;
@@ -122,6 +137,9 @@
   SimulatedLink store_link{this->clock, 0};
   std::vector<Change> changes;
   std::vector<WrittenRow> written_rows;
+  std::map<std::string, TimePoint> left_at;  ///< By server.
+  std::map<std::pair<int, std::string>, int> sends;
+  Duration latest_send{0};
   std::map<std::shared_ptr<const std::string>, std::vector<StoreRow>> decoded;
   std::vector<std::unique_ptr<Host>> hosts;
 };
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -189,6 +189,31 @@
   HttpResponse response;
 };
 
+TEST(ForwardedRequest, IsNotSentOnACopyThatGetsOldBeforeTheSend) {
+  ForwardingHost host(std::chrono::seconds(5), TestPort(3));
+  RecordingExchange exchange;
+  exchange.request.method(http::verb::get);
+  CountingHandler handler;
+  HttpServer server(LocalServerOptions(TestPort(3)), handler);
+  host.state.headers.server_id = "Expected-Server";
+  host.state.headers.deadline_ms = "Deadline-Ms";
+  int looks = 0;
+  host.state.servers_status = [&] {
+    TableStatus status;
+    status.source = RowSource::kFollowed;
+    if (looks++ != 0) status.age = std::chrono::seconds(10);
+    return status;
+  };
+  FiberLoop loop;
+  RunInFiber(loop, [&] {
+    server.Listen(loop);
+    ForwardedRequest(host.state, exchange).Run();
+  });
+  EXPECT_EQ(exchange.response.result(), http::status::service_unavailable);
+  EXPECT_EQ(exchange.response[kVerdictHeader], "not-run");
+  EXPECT_EQ(handler.received, 0);
+}
+
 TEST(ForwardedRequest, IsRefusedIfTheProcessStopsBeforeItsServerCanRespond) {
   ForwardingHost host(std::chrono::seconds(5));
   host.state.stop = StopSchedule(host.clock.Now(), std::chrono::seconds(6));
