Send no request on what is known of a server for longer than the bound

Cause: the age of the copy of the servers' table was bounded on each of its ways, not at its use. Chooser, look-up of owners and attempts used any entry, so every delay that no repair thought of, and each cut, still sent.

ServingCheck is asked right before a server is used and once more right before the bytes go out, after the wait for a connection. What is known of the server must be younger than half of drainS: the copy, if it has the server's entry and holds none of it back, or the server's own last word, by any response that keeps its connection. Otherwise the server is asked at its health path, once for all requests that wait for it; a server that does not say that it serves gets nothing for half a second, and a keyed request is refused at once (server-unconfirmed). No call to the store is added.

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -113,7 +113,7 @@
       typical = std::make_shared<TypicalLatency>(kInitialLatency);
     }
     target = std::make_shared<BackendTarget>(BackendTarget{
-        entry, BackendLoad(entry.slots, typical, this->clock.Now()), {}});
+        entry, BackendLoad(entry.slots, typical, this->clock.Now()), {}, {}});
     target->load.SetGatewayCount(this->gateways);
   } else {
     target->entry = entry;
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -66,6 +66,12 @@
       -> const std::vector<BackendTargetPtr>&;
   /// @return the server, draining or not; null if it is unknown.
   [[nodiscard]] auto Find(const ServerId& id) const -> BackendTargetPtr;
+  /// @return whether the entry in use is the one in the table, as far as this
+  ///   host knows the table: it is not missing there, and no other one of the
+  ///   server is held back.
+  [[nodiscard]] auto HasCurrentEntry(const ServerId& id) const -> bool {
+    return this->expired.count(id) == 0 && this->held.count(id) == 0;
+  }
   [[nodiscard]] auto All() const
       -> const std::unordered_map<ServerId, BackendTargetPtr>& {
     return this->targets;
--- a/src/backends/backend_target.cc
+++ b/src/backends/backend_target.cc
@@ -32,6 +32,8 @@
 /// Longer than the entry of a stopped server remains in the store.
 constexpr auto kReplacedEjectionTime = std::chrono::seconds(10);
 constexpr auto kMaxEjectionTime = std::chrono::seconds(4);
+/// Short, as the server may only have been full.
+constexpr auto kUnconfirmedEjectionTime = std::chrono::milliseconds(500);
 constexpr auto kMaxPause = std::chrono::minutes(5);
 
 }  // namespace
@@ -131,6 +133,11 @@
   this->ejected_until = now + kReplacedEjectionTime;
 }
 
+auto BackendLoad::OnUnconfirmed(TimePoint now) -> void {
+  this->ejected_until =
+      std::max(this->ejected_until, now + kUnconfirmedEjectionTime);
+}
+
 auto BackendLoad::OnPaused(TimePoint now, Duration pause) -> void {
   const auto until = now + std::min(pause, Duration(kMaxPause));
   this->paused_until = std::max(this->paused_until, until);
--- a/src/backends/backend_target.h
+++ b/src/backends/backend_target.h
@@ -70,6 +70,9 @@
   auto OnReplaced(TimePoint now) -> void;
   /// The server wants no requests for this long, which is limited.
   auto OnPaused(TimePoint now, Duration pause) -> void;
+  /// The server was asked and has not responded that it serves. Other than
+  /// after a failure, no request was in flight for it.
+  auto OnUnconfirmed(TimePoint now) -> void;
   /// This gateway abandoned the request, which is no sign of the server's
   /// health.
   auto OnAbandoned() -> void { --this->in_flight; }
@@ -99,6 +102,9 @@
   BackendEntry entry;
   BackendLoad load;
   RetryAfterScheduler retry_scheduler;  ///< For clients it refused.
+  /// The server has said at this time or later that it serves; empty if it
+  /// has not.
+  std::optional<TimePoint> served_at;
 };
 
 using BackendTargetPtr = std::shared_ptr<BackendTarget>;
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -77,5 +77,6 @@
 constexpr LogEvent kReadThroughPeer{916, LogLevel::kInfo, "read-through-peer"};
 constexpr LogEvent kCopyFetched{917, LogLevel::kInfo, "copy-fetched"};
 constexpr LogEvent kLoopLate{918, LogLevel::kInfo, "loop-late"};
+constexpr LogEvent kServerAsked{919, LogLevel::kInfo, "server-asked"};
 
 }  // namespace currantbeam::events
--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -28,6 +28,10 @@
 constexpr int kRetryAfterDivisor = 3;
 /// The limit on sends of one request, including those that servers refused.
 constexpr int kMaxSends = 3;
+/// The limit on servers that are chosen for one request and not known to serve.
+constexpr int kMaxUnconfirmed = 3;
+/// The share of the time left in which a server may respond whether it serves.
+constexpr int kConfirmDivisor = 4;
 
 }  // namespace
 
@@ -89,6 +93,15 @@
       this->Refuse("stopping", kStoppingRetryAfter, target.get());
       return;
     }
+    if (!this->ConfirmServing(target)) {
+      // Another server of the service may serve; a key has one owner.
+      if (!this->request.is_keyed &&
+          ++this->unconfirmed_count < kMaxUnconfirmed) {
+        continue;
+      }
+      this->Refuse("server-unconfirmed", kNotReadyRetryAfter, target.get());
+      return;
+    }
     const auto outcome = this->RunAttempt(*target);
     if (outcome == AttemptOutcome::kAnswered) return;
     if (outcome == AttemptOutcome::kClientDisconnected) break;
@@ -254,6 +267,12 @@
   return target;
 }
 
+auto ForwardedRequest::ConfirmServing(const BackendTargetPtr& target) -> bool {
+  auto* serving = this->request.state.serving;
+  if (serving == nullptr) return true;
+  return serving->Confirm(target, this->request.TimeLeft() / kConfirmDivisor);
+}
+
 auto ForwardedRequest::RunAttempt(BackendTarget& target) -> AttemptOutcome {
   this->tried_servers.push_back(target.entry.id);
   this->request.server = target.entry.id;
--- a/src/router/forwarded_request.h
+++ b/src/router/forwarded_request.h
@@ -57,6 +57,9 @@
   ///   nothing if one of them does now.
   [[nodiscard]] auto PauseLeft(const std::vector<BackendTargetPtr>& servers)
       const -> std::optional<std::chrono::milliseconds>;
+  /// Asks the server whether it serves, if that isn't known.
+  /// @return whether the request may be sent to it.
+  auto ConfirmServing(const BackendTargetPtr& target) -> bool;
   auto RunAttempt(BackendTarget& target) -> AttemptOutcome;
   /// Responds with an error after an attempt that is not retried.
   /// @param target  the server of that attempt.
@@ -90,6 +93,7 @@
   RequestContext request;
   QuarantineCheck quarantine_check{this->request};
   std::vector<ServerId> tried_servers;
+  int unconfirmed_count = 0;  ///< Chosen servers that were not known to serve.
 };
 
 }  // namespace currantbeam
--- a/src/router/request_context.h
+++ b/src/router/request_context.h
@@ -54,6 +54,8 @@
   TableStatus servers_status;  ///< When the last attempt's server was chosen.
   /// The age of the copy of the servers' table when the last attempt was sent.
   Duration sent_age{0};
+  /// The age of what was known then of the server itself.
+  Duration known_age{0};
   int send_count = 0;         ///< Completed attempts that sent the request.
   bool is_sent = false;       ///< The running attempt has begun to send it.
   bool may_have_run = false;  ///< At the server of an earlier attempt.
@@ -119,6 +121,7 @@
     fields.emplace_back("servers_age_us", status.age.count());
     fields.emplace_back("servers_source", ToString(status.source));
     fields.emplace_back("sent_age_us", this->sent_age.count());
+    fields.emplace_back("known_age_us", this->known_age.count());
   }
   [[nodiscard]] auto RequestId() const -> std::string_view {
     return ToView(this->exchange.Request()[this->state.headers.request_id]);
--- a/src/router/request_forwarder.h
+++ b/src/router/request_forwarder.h
@@ -15,6 +15,7 @@
 #include "router/owner_directory.h"
 #include "router/request_metrics.h"
 #include "router/route_table.h"
+#include "router/serving_check.h"
 #include "router/suspect_trials.h"
 #include "store/store.h"
 
@@ -46,6 +47,8 @@
   EndedServerProbe ended_server_probe;
   /// What is known of the table of backend servers; null in tests.
   std::function<TableStatus()> servers_status;
+  /// Null in tests: every server in the directory counts as serving.
+  ServingCheck* serving = nullptr;
   SuspectTrials* trials = nullptr;  ///< Null: suspect requests run at any time.
   ActiveRequests active_requests;
   StopSchedule stop;
--- a/src/router/route_config.h
+++ b/src/router/route_config.h
@@ -22,6 +22,7 @@
   ServiceName name;
   bool is_keyed = false;      ///< Each key is granted to one server.
   int max_connections = 100;  ///< To one server, from all hosts together.
+  std::string health_path;    ///< Where its servers say whether they serve.
   /// How long a key is slow at a new owner that received no handover.
   std::chrono::milliseconds warm_up{0};
 };
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -29,6 +29,10 @@
 /// The share of the process's memory that bodies of requests may use.
 constexpr double kBodyMemoryShare = 0.5;
 constexpr double kBytesPerMebibyte = 1024 * 1024;
+/// The share of the bound on requests to servers that leave. The rest is for
+/// what the age of a copy doesn't show: a store that drops its history responds
+/// without rows for up to a second.
+constexpr double kMaxKnownAgeShare = 0.5;
 
 auto OptionsFor(const Endpoint& endpoint) -> HttpServer::Options {
   HttpServer::Options options;
@@ -59,6 +63,12 @@
                    settings.link_mbps / kCoordinatorLinkMbps, 1.0});
 }
 
+/// @return the maximum age of what is known of a server that a request is sent
+/// to.
+auto MaxKnownAge(const RouterSettings& settings) -> Duration {
+  return Scale(settings.drain_bound, kMaxKnownAgeShare);
+}
+
 auto StartTimeout(const RouterSettings& settings) -> Duration {
   return settings.is_first_start ? kFirstStartTimeout : kRestartTimeout;
 }
@@ -107,6 +117,17 @@
                     this->table_reads, this->hosts, StartTimeout(settings)),
       quarantine_store(this->backed_store, this->clock, this->state.quarantine,
                        [this] { return this->LatestStoreEpoch(); }),
+      health_client(this->dependencies.headers,
+                    [this](const ServiceName& service) {
+                      return this->HealthPath(service);
+                    }),
+      serving_check(
+          this->clock, this->directory, this->health_client,
+          [this] {
+            return this->store.Status(this->dependencies.schema.BackendsTable())
+                .age;
+          },
+          MaxKnownAge(settings)),
       forwarder(this->state),
       readiness_handler(*this),
       caller_server(CallerServerOptions(settings), this->forwarder),
@@ -130,6 +151,7 @@
 
 auto RouterProcess::Run() -> void {
   this->state.trials = &this->peer_exchange;
+  this->state.serving = &this->serving_check;
   this->state.servers_status = [this] {
     return this->store.Status(this->dependencies.schema.BackendsTable());
   };
@@ -220,6 +242,14 @@
   }
 }
 
+auto RouterProcess::HealthPath(const ServiceName& service) const
+    -> std::string {
+  if (this->state.routes == nullptr) return "";
+  const auto& services = this->state.routes->Config().services;
+  const auto spec = services.find(service);
+  return spec == services.end() ? "" : spec->second.health_path;
+}
+
 auto RouterProcess::LatestStoreEpoch() const -> StoreEpoch {
   StoreEpoch latest = 0;
   for (const auto& [table, version] : this->store.Versions()) {
@@ -234,6 +264,8 @@
     if (!changed) return;
     this->settings.stop_grace = changed->stop_grace;
     this->settings.retry_limits = changed->retry_limits;
+    this->settings.drain_bound = changed->drain_bound;
+    this->serving_check.SetMaxAge(MaxKnownAge(*changed));
     this->ApplyFleetSize();
     Log(events::kSettingsReloaded,
         {{"stop_grace_ms", changed->stop_grace.count()}});
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -65,6 +65,10 @@
   /// Reads the quarantined requests from the store after the start, and stores
   /// them while this host has the active KeyCoordinator.
   auto RunQuarantineStore() -> void;
+  /// @return the path at which the service's servers say whether they serve;
+  ///   empty if it is unknown.
+  [[nodiscard]] auto HealthPath(const ServiceName& service) const
+      -> std::string;
   /// @return the latest epoch of the store in which a shared table was read.
   [[nodiscard]] auto LatestStoreEpoch() const -> StoreEpoch;
   /// Sets this host's share of the limits that all hosts have together.
@@ -98,6 +102,8 @@
   ForwardingState state;
   PeerExchange peer_exchange;
   QuarantineStore quarantine_store;
+  HttpServerHealthClient health_client;
+  ServingCheck serving_check;
   RequestForwarder forwarder;
   ReadinessHandler readiness_handler;
   HttpServer caller_server;
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -24,6 +24,9 @@
   Endpoint metrics;
   /// The time from the stop signal until the process is killed.
   std::chrono::milliseconds stop_grace{6000};
+  /// No request reaches a server later than this after the store has accepted
+  /// that the server leaves.
+  std::chrono::milliseconds drain_bound{2000};
   RetryLimits retry_limits;  ///< For all hosts together.
   double cpu_cores = 1;      ///< CPU capacity of this host, in cores.
   double link_mbps = 1000;   ///< Bandwidth in megabits per second.
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -31,6 +31,13 @@
          status == http::status::service_unavailable;
 }
 
+/// @return whether the response ends the connection, as those of servers that
+///   leave do.
+auto EndsConnection(const HttpConnection& connection) -> bool {
+  const auto field = connection.Field("Connection");
+  return boost::beast::iequals({field.data(), field.size()}, "close");
+}
+
 }  // namespace
 
 auto ServerAttempt::Run() -> AttemptOutcome {
@@ -46,10 +53,14 @@
     this->target.load.OnAbandoned();
     return AttemptOutcome::kClientDisconnected;
   }
-  this->request.upstream = connection.get();
-  if (this->request.state.servers_status) {
-    this->request.sent_age = this->request.state.servers_status().age;
+  if (!this->MayBeSent()) {
+    this->target.load.OnAbandoned();
+    const auto& entry = this->target.entry;
+    ConnectionPool::Current().Release(entry.address, entry.port,
+                                      std::move(connection));
+    return AttemptOutcome::kNotRun;
   }
+  this->request.upstream = connection.get();
   this->was_sent = true;
   this->request.is_sent = true;
   this->request.phase = RequestPhase::kAwaitingAnswer;
@@ -67,6 +78,25 @@
   }
 }
 
+auto ServerAttempt::MayBeSent() -> bool {
+  const auto& state = this->request.state;
+  if (state.servers_status) {
+    this->request.sent_age = state.servers_status().age;
+  }
+  if (state.serving == nullptr) return true;
+  this->request.known_age =
+      state.serving->KnownAge(this->target).value_or(Duration(0));
+  if (state.serving->IsKnownToServe(this->target)) return true;
+  std::vector<LogField> fields = {
+      {"request", this->request.RequestId()},
+      {"server", this->target.entry.id.Value()},
+      {"may_have_run", false},
+      {"error", "the server is not known to serve any more"}};
+  this->request.AppendServersStatus(fields);
+  Log(events::kAttemptFailed, fields);
+  return false;
+}
+
 auto ServerAttempt::ReleaseConnection(
     std::unique_ptr<HttpConnection> connection, AttemptOutcome outcome)
     -> void {
@@ -175,6 +205,9 @@
   if (!responder.empty() && responder != entry.id.Value()) return;
   if (connection.Field(headers.leaving) == kServerLeaves) {
     this->request.state.directory.OnLeaving(entry.id, entry.started);
+  } else if (!EndsConnection(connection)) {
+    // The server has said so at any time since the request was sent.
+    this->target.served_at = this->sent_at;
   }
   if (connection.Head().result() != http::status::service_unavailable) return;
   const auto pause = ParseSeconds(connection.Field(headers.pause));
--- a/src/router/server_attempt.h
+++ b/src/router/server_attempt.h
@@ -28,6 +28,9 @@
  private:
   /// @return a connection to the server; null if it can't be reached.
   auto Connect() -> std::unique_ptr<HttpConnection>;
+  /// @return whether the request may still be sent, after the time that the
+  ///   connection took.
+  [[nodiscard]] auto MayBeSent() -> bool;
   /// Sends the request and handles the response.
   /// @throws RequestError if the request may have run and no response was
   ///   relayed.
--- a/src/standins/wire/wire_backend.cc
+++ b/src/standins/wire/wire_backend.cc
@@ -28,6 +28,10 @@
     this->HandleGrantOrRelease(exchange, target == "/release");
     return;
   }
+  if (target == "/health") {
+    this->HandleHealthCheck(exchange);
+    return;
+  }
   this->HandleRequest(exchange);
 }
 
@@ -146,6 +150,15 @@
   this->RunRequest(exchange, Header(request, "X-Request-Id"));
 }
 
+auto WireBackend::HandleHealthCheck(HttpExchange& exchange) -> void {
+  const bool serves =
+      this->AwaitSlot(exchange.Request()) && !this->behaviour.is_leaving;
+  HttpResponse response{
+      serves ? http::status::ok : http::status::service_unavailable, 11};
+  response.set("X-Instance-Id", this->id);
+  exchange.Send(std::move(response));
+}
+
 auto WireBackend::AwaitSlot(const HttpRequest& request) -> bool {
   const auto deadline_ms =
       std::strtol(Header(request, "X-Deadline-Ms").c_str(), nullptr, 10);
--- a/src/standins/wire/wire_backend.h
+++ b/src/standins/wire/wire_backend.h
@@ -105,6 +105,7 @@
   ///   pause's start, so its lease is counted from there.
   [[nodiscard]] auto EarliestArrivalTime() const -> TimePoint;
   auto HandleRequest(HttpExchange& exchange) -> void;
+  auto HandleHealthCheck(HttpExchange& exchange) -> void;
   /// Queues a request until a slot is free.
   /// @return false if its deadline passed first.
   auto AwaitSlot(const HttpRequest& request) -> bool;
--- a/tests/platform_wire/adapter_test.cc
+++ b/tests/platform_wire/adapter_test.cc
@@ -23,7 +23,8 @@
 const char* const kSettings =
     R"({"node":"front-1","zone":"x","ip":"10.0.0.1","portRange":[7540,7555],
         "listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81"},
-        "bounds":{"graceS":6,"budgetRatio":0.2,"budgetExtra":58,"holdMaxS":5},
+        "bounds":{"graceS":6,"budgetRatio":0.2,"budgetExtra":58,"holdMaxS":5,
+                  "drainS":2.5},
         "limits":{"cpuShare":0.25,"cores":2,"linkMbps":10},
         "platform":{"addr":"10.0.0.2:90"},"later":{"unknown":true}})";
 
@@ -39,6 +40,7 @@
   EXPECT_EQ(settings.peers.port, 7540);
   EXPECT_EQ(settings.stop_grace, milliseconds(6000));
   EXPECT_EQ(settings.grant_timing.ttl, milliseconds(5000));
+  EXPECT_EQ(settings.drain_bound, milliseconds(2500));
   EXPECT_DOUBLE_EQ(settings.cpu_cores, 0.5);
   EXPECT_DOUBLE_EQ(settings.link_mbps, 10);
 }
@@ -88,6 +90,7 @@
       {"[7540,7555]", "[1e300]"},
       {R"("graceS":6)", R"("graceS":1e300)"},
       {R"("holdMaxS":5)", R"("holdMaxS":-1e300)"},
+      {R"("drainS":2.5)", R"("drainS":0)"},
       {"10.0.0.1:80", "10.0.0.1:65536"}};
   for (const auto& [from, to] : changes) {
     EXPECT_THROW(DecodeBootSettings(ReplaceFirst(valid, from, to)), InputError)
--- a/tests/platform_wire/server_state_test.cc
+++ b/tests/platform_wire/server_state_test.cc
@@ -50,6 +50,16 @@
   int sent_count = 0;
 };
 
+TEST_F(ServerState, ServerThatLeavesGetsNoRequestsOnAnOldCopy) {
+  this->fleet.Run([&] {
+    ASSERT_EQ(this->SendOne(), 200U);
+    this->fleet.Store().SetHung(true);
+    SleepFor(std::chrono::seconds(2));
+    this->fleet.Backend(0).behaviour.is_leaving = true;
+    EXPECT_TRUE(this->ReceivesNoRequests(0));
+  });
+}
+
 class LeavingServer : public ServerState {
  protected:
   /// Waits until the router has received a response from server 0 while that
--- a/tests/router/fleet_simulation.cc
+++ b/tests/router/fleet_simulation.cc
@@ -17,6 +17,9 @@
 constexpr Duration kWriteTimeout = milliseconds(800);
 constexpr Duration kTaskInterval = milliseconds(200);
 constexpr Duration kRequestInterval = milliseconds(100);
+constexpr Duration kHealthTime = milliseconds(400);
+/// Half of the smallest bound of a deployment.
+constexpr Duration kMaxKnownAge = milliseconds(1000);
 constexpr Duration kBatchDelay = milliseconds(250);
 constexpr std::size_t kHostsPerReply = 4;
 constexpr double kUnlimitedMbps = 1e6;
@@ -214,7 +217,7 @@
         targets.push_back(target);
       }
       for (const auto& target : targets) {
-        if (!this->MaySend(*target)) continue;
+        if (!this->MaySend(target)) continue;
         this->fleet.OnSend(this->index, target->entry.id.Value());
       }
       SleepFor(kRequestInterval);
@@ -257,8 +260,24 @@
       this->Options(),    [](const OwnerUpdate& /*update*/) {}};
 
  private:
-  auto MaySend(const BackendTarget& target) -> bool {
-    return !target.entry.is_draining;
+  /// Asks servers by a message.
+  class HealthClient : public ServerHealthClient {
+   public:
+    explicit HealthClient(const FleetSimulation& fleet) : fleet(fleet) {}
+    auto Serves(const BackendEntry& server, milliseconds /*timeout*/)
+        -> bool override {
+      SleepFor(kMessageTime);
+      const bool serves = this->fleet.left_at.count(server.id.Value()) == 0;
+      SleepFor(kMessageTime);
+      return serves;
+    }
+
+   private:
+    const FleetSimulation& fleet;
+  };
+
+  auto MaySend(const BackendTargetPtr& target) -> bool {
+    return this->serving.Confirm(target, kHealthTime);
   }
   auto Options() -> KeyCoordinator::Options {
     KeyCoordinator::Options options;
@@ -369,6 +388,10 @@
     TableListener& listener;
   };
 
+  HealthClient health{this->fleet};
+  ServingCheck serving{this->fleet.clock, this->directory, this->health,
+                       [this] { return this->store.Status(kBackends).age; },
+                       kMaxKnownAge};
   std::map<std::string, std::string> last_states;
   BackendsListener backends_listener{
       this->schema, this->directory,
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -126,6 +126,15 @@
                         this->owners, this->loads, FailureDomain("x")};
 };
 
+/// Servers that don't respond whether they serve.
+class SilentServers : public ServerHealthClient {
+ public:
+  auto Serves(const BackendEntry& /*server*/, milliseconds /*timeout*/)
+      -> bool override {
+    return false;
+  }
+};
+
 TEST(ForwardedRequest, IsNotSentIfTheDisconnectOfItsClientIsUnreported) {
   ForwardingHost host(std::chrono::seconds(5));
   DisconnectedExchange exchange;
@@ -204,6 +213,11 @@
     if (looks++ != 0) status.age = std::chrono::seconds(10);
     return status;
   };
+  SilentServers servers;
+  ServingCheck serving(
+      host.clock, host.directory, servers,
+      [&] { return host.state.servers_status().age; }, std::chrono::seconds(1));
+  host.state.serving = &serving;
   FiberLoop loop;
   RunInFiber(loop, [&] {
     server.Listen(loop);
