Accept no response with a status outside the protocol

Cause: nothing looked at the status beyond whether it is a success; the parser takes any three digits.

HttpConnection::ReadHead accepts final statuses 200 to 599 only, skips up to 16 interim responses, and rejects 1xx and 204 that announce a body.

--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -34,6 +34,29 @@
 constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
 constexpr int kKeepAliveProbeSeconds = 1;
 constexpr int kMaxLostProbes = 2;
+constexpr int kMaxInterimResponses = 16;
+
+/// Status codes, RFC 9110, section 15.
+constexpr unsigned kMinInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;  ///< Was never asked for.
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+constexpr unsigned kMaxStatus = 599;
+
+auto IsInterim(unsigned status) -> bool {
+  return status >= kMinInterimStatus && status < kMinFinalStatus &&
+         status != kSwitchingProtocols;
+}
+
+/// @return whether bytes were received that are no response, other than the
+///   beginning of one.
+auto IsInvalid(const boost::system::error_code& error) -> bool {
+  const auto invalid = http::make_error_code(http::error::bad_status);
+  return error.category() == invalid.category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
 
 auto ThreadNewestNumber() -> ConnectionNumber& {
   thread_local ConnectionNumber newest = 0;
@@ -136,6 +159,42 @@
 auto HttpConnection::ReadHead(bool is_head_request,
                               std::chrono::milliseconds timeout)
     -> const http::response_header<>& {
+  const RemainingTime time_left(timeout);
+  for (int i = 0; i <= kMaxInterimResponses; ++i) {
+    this->ReadNextHead(is_head_request, time_left());
+    this->CheckHead();
+    if (!IsInterim(this->Head().result_int())) return this->Head();
+  }
+  this->connected = false;
+  throw InvalidResponse("too many interim responses");
+}
+
+auto HttpConnection::CheckHead() -> void {
+  const auto status = this->Head().result_int();
+  const bool is_known =
+      IsInterim(status) || (status >= kMinFinalStatus && status <= kMaxStatus);
+  // In a 304, it may be the length of a body that isn't sent.
+  const bool has_wrong_body =
+      status != kNotModified && this->AnnouncesBodyWithoutOne();
+  if (is_known && !has_wrong_body) return;
+  this->connected = false;
+  throw InvalidResponse((is_known ? "a body with status " : "status ") +
+                        std::to_string(status));
+}
+
+auto HttpConnection::AnnouncesBodyWithoutOne() const -> bool {
+  const auto& head = this->Head();
+  const auto status = head.result_int();
+  const bool has_no_body =
+      IsInterim(status) || status == kNoContent || status == kNotModified;
+  if (!has_no_body) return false;
+  const auto length = head.find(http::field::content_length);
+  const bool has_length = length != head.end() && length->value() != "0";
+  return has_length || head.count(http::field::transfer_encoding) != 0;
+}
+
+auto HttpConnection::ReadNextHead(bool is_head_request,
+                                  std::chrono::milliseconds timeout) -> void {
   auto& parser = this->parser_state->parser.emplace();
   this->body_bytes_received = 0;
   // LimitBody() limits the body; the parser would not count its framing.
@@ -146,12 +205,11 @@
     http::async_read_header(this->stream, this->parser_state->buffer, parser,
                             handler);
   });
-  if (read.error) {
-    this->connected = false;
-    throw RequestError(Verdict::kMayHaveRun,
-                       "no answer: " + read.error.message());
-  }
-  return parser.get().base();
+  if (!read.error) return;
+  this->connected = false;
+  if (IsInvalid(read.error)) throw InvalidResponse(read.error.message());
+  throw RequestError(Verdict::kMayHaveRun,
+                     "no answer: " + read.error.message());
 }
 
 auto HttpConnection::EnableTcpKeepAlive() -> void {
@@ -259,7 +317,8 @@
 auto HttpConnection::IsReusable() const -> bool {
   if (!this->connected || !this->parser_state->parser.has_value()) return false;
   const auto& parser = *this->parser_state->parser;
-  return parser.is_done() && parser.get().keep_alive();
+  return parser.is_done() && parser.get().keep_alive() &&
+         !this->AnnouncesBodyWithoutOne();
 }
 
 auto HttpConnection::MayRespondAgain() const -> bool {
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -21,6 +21,14 @@
       : RequestError(Verdict::kMayHaveRun, "the response is too large") {}
 };
 
+/// The peer sent bytes that are no response in HTTP/1.1, so that its connection
+/// can't be used any more.
+class InvalidResponse : public RequestError {
+ public:
+  explicit InvalidResponse(const std::string& what)
+      : RequestError(Verdict::kMayHaveRun, "invalid response: " + what) {}
+};
+
 /// The client side of one HTTP/1.1 connection, used from one fiber at a time.
 /// It sends each request once, without retries, and reads the response as a
 /// head followed by chunks of the body. If it is closed before the response has
@@ -50,11 +58,13 @@
       -> void;
   auto SendView(const HttpRequestView& request,
                 std::chrono::milliseconds timeout) -> void;
-  /// Reads the head of the next response on the connection.
+  /// Reads the head of the next final response on the connection. Interim
+  /// responses, which may come before it, are skipped.
   /// @param is_head_request  true if the request's method was HEAD, so that the
   ///   response has no body whatever its Content-Length is.
   /// @throws RequestError with kMayHaveRun if no head arrives within the
-  /// timeout.
+  /// timeout; InvalidResponse if the peer sends anything else, such as a status
+  /// that is not one of RFC 9110, section 15.
   auto ReadHead(bool is_head_request, std::chrono::milliseconds timeout)
       -> const http::response_header<>&;
   /// Enables TCP keepalive, so that a peer that disappeared without closing the
@@ -113,6 +123,14 @@
   template <typename Request>
   auto SendMessage(const Request& request, std::chrono::milliseconds timeout)
       -> void;
+  auto ReadNextHead(bool is_head_request, std::chrono::milliseconds timeout)
+      -> void;
+  /// @throws InvalidResponse if the status is unknown, or the response has no
+  ///   body because of it and still announces one.
+  auto CheckHead() -> void;
+  /// @return whether the response has no body because of its status, but fields
+  ///   that announce one.
+  [[nodiscard]] auto AnnouncesBodyWithoutOne() const -> bool;
   /// Starts the timeout of the next operation.
   /// @throws RequestError with the verdict if no time is left or the connection
   ///   was cancelled.
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -134,11 +134,13 @@
     return AttemptOutcome::kClientDisconnected;
   }
   const auto now = this->request.state.clock.Now();
+  const bool is_invalid =
+      dynamic_cast<const InvalidResponse*>(&error) != nullptr;
   this->has_lost_connection =
-      this->request.phase == RequestPhase::kAwaitingAnswer &&
+      !is_invalid && this->request.phase == RequestPhase::kAwaitingAnswer &&
       now < this->request.RespondAt();
   const auto took = now - this->sent_at;
-  if (took < kMaxRefusalResetTime) {
+  if (took < kMaxRefusalResetTime && !is_invalid) {
     load.OnRefused(now);
   } else {
     load.OnFailure(now);
