Rely on a server's own word beyond the bound only while cut off

Some servers leave without saying so: their entry is removed and they serve on. A host that reaches the others but whose copy was delayed by anything else (a call that neither responds nor fails, a loop that is behind) relied on their word for as long as the delay lasted.

--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -29,10 +29,6 @@
 /// The share of the process's memory that bodies of requests may use.
 constexpr double kBodyMemoryShare = 0.5;
 constexpr double kBytesPerMebibyte = 1024 * 1024;
-/// The share of the bound on requests to servers that leave. The rest is for
-/// what the age of a copy doesn't show: a store that drops its history responds
-/// without rows for up to a second.
-constexpr double kMaxKnownAgeShare = 0.5;
 
 auto OptionsFor(const Endpoint& endpoint) -> HttpServer::Options {
   HttpServer::Options options;
@@ -63,12 +59,6 @@
                    settings.link_mbps / kCoordinatorLinkMbps, 1.0});
 }
 
-/// @return the maximum age of what is known of a server that a request is sent
-/// to.
-auto MaxKnownAge(const RouterSettings& settings) -> Duration {
-  return Scale(settings.drain_bound, kMaxKnownAgeShare);
-}
-
 auto StartTimeout(const RouterSettings& settings) -> Duration {
   return settings.is_first_start ? kFirstStartTimeout : kRestartTimeout;
 }
@@ -124,10 +114,10 @@
       serving_check(
           this->clock, this->directory, this->health_client,
           [this] {
-            return this->store.Status(this->dependencies.schema.BackendsTable())
-                .age;
+            return this->store.Status(
+                this->dependencies.schema.BackendsTable());
           },
-          MaxKnownAge(settings)),
+          settings.drain_bound),
       forwarder(this->state),
       readiness_handler(*this),
       caller_server(CallerServerOptions(settings), this->forwarder),
@@ -265,7 +255,7 @@
     this->settings.stop_grace = changed->stop_grace;
     this->settings.retry_limits = changed->retry_limits;
     this->settings.drain_bound = changed->drain_bound;
-    this->serving_check.SetMaxAge(MaxKnownAge(*changed));
+    this->serving_check.SetBound(changed->drain_bound);
     this->ApplyFleetSize();
     Log(events::kSettingsReloaded,
         {{"stop_grace_ms", changed->stop_grace.count()}});
--- a/src/router/serving_check.h
+++ b/src/router/serving_check.h
@@ -9,26 +9,31 @@
 #include "policy/policy.h"
 #include "router/server_health_client.h"
 #include "runtime/runtime.h"
+#include "store/store.h"
 
 namespace currantbeam {
 
 /// Decides, when a request is about to be sent to a server, whether the server
-/// is known to serve. What is known must not be older than a bound, whatever
-/// delayed it: either this host's copy of the table of servers is recent, or
-/// the server itself has said recently that it serves, in any response. If
-/// neither is the case, the server can be asked. To be used from one loop.
+/// is known to serve. What is known must not be too old, whatever delayed it:
+/// either this host's copy of the table of servers is recent, or the server
+/// itself has said recently that it serves, in any response. If neither is the
+/// case, the server can be asked. Some servers leave without saying so
+/// themselves; so their word counts only while the copy is younger than the
+/// bound, or while this host is cut off from the store and all other hosts. To
+/// be used from one loop.
 class ServingCheck {
  public:
-  /// @return the age of this host's copy of the table of servers.
-  using CopyAge = std::function<Duration()>;
-  /// @param max_age  the bound.
+  /// @return what this host knows of the table of servers.
+  using CopyStatus = std::function<TableStatus()>;
+  /// @param bound  no request reaches a server later than this after the store
+  ///   has accepted that the server leaves.
   ServingCheck(const Clock& clock, const BackendDirectory& directory,
-               ServerHealthClient& health, CopyAge copy_age, Duration max_age)
+               ServerHealthClient& health, CopyStatus copy, Duration bound)
       : clock(clock),
         directory(directory),
         health(health),
-        copy_age(std::move(copy_age)),
-        max_age(max_age) {}
+        copy(std::move(copy)),
+        bound(bound) {}
 
   /// @return the age of what is known of the server: of the copy or of the
   ///   server's own word, whichever is younger; nothing if the server is not
@@ -44,7 +49,7 @@
   /// @param max_wait  how long the fiber is blocked at most.
   /// @return whether a request may be sent to the server now.
   auto Confirm(const BackendTargetPtr& target, Duration max_wait) -> bool;
-  auto SetMaxAge(Duration age) -> void { this->max_age = age; }
+  auto SetBound(Duration new_bound) -> void { this->bound = new_bound; }
 
  private:
   struct Call {
@@ -52,6 +57,9 @@
     FiberEvent has_ended;
   };
 
+  /// @return whether a server's own word counts.
+  [[nodiscard]] auto MayRelyOnServers(const TableStatus& copy_status) const
+      -> bool;
   /// @return the call in which the server is asked; started if there is none.
   auto Ask(const BackendTargetPtr& target) -> std::shared_ptr<Call>;
   /// Asks the server, and records what it responds.
@@ -60,8 +68,8 @@
   const Clock& clock;
   const BackendDirectory& directory;
   ServerHealthClient& health;
-  CopyAge copy_age;
-  Duration max_age;
+  CopyStatus copy;
+  Duration bound;
   std::map<ServerProcess, std::shared_ptr<Call>> calls;
 };
 
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -43,8 +43,8 @@
       election_deadline(clock.Now() + election_timeout),
       fetcher(fetcher) {
   for (const auto& table : tables) {
-    this->tables.emplace(table,
-                         SharedTable{RelayedTable(table), {}, {}, {}, {}, {}});
+    this->tables.emplace(
+        table, SharedTable{RelayedTable(table), {}, {}, {}, {}, {}, {}});
   }
 }
 
@@ -77,7 +77,13 @@
 auto RelayedStore::ReadDirectly(SharedTable& shared, const std::string& table)
     -> RowBatch {
   const auto called_at = this->clock.Now();
-  auto batch = this->store.Read(table, "");
+  RowBatch batch;
+  try {
+    batch = this->store.Read(table, "");
+  } catch (const StoreError&) {
+    shared.failed_at = called_at;
+    throw;
+  }
   const auto requested_at = called_at - batch.age;
   const auto last_version = shared.table.LastVersion();
   const bool is_comparable =
@@ -150,6 +156,9 @@
   } catch (const HistoryLost& lost) {
     if (lost.Epoch() != after.epoch) shared.table.Invalidate();
     throw;
+  } catch (const StoreError&) {
+    shared.failed_at = requested_at;
+    throw;
   }
   const auto received_at = this->clock.Now();
   const auto last_current_at = this->store_clock.StoreTime(shared.table.AsOf());
@@ -202,7 +211,7 @@
   if (it == this->tables.end()) return {};
   const auto& shared = it->second;
   return {shared.table.Version(), this->clock.Now() - shared.table.AsOf(),
-          shared.source};
+          shared.source, shared.failed_at > shared.table.AsOf()};
 }
 
 auto RelayedStore::OnReceived(SharedTable& shared, const std::string& table,
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -98,7 +98,8 @@
     FiberEvent has_update;
     /// The earliest time of the next poll, unless this host is the leader.
     TimePoint next_poll_at{};
-    RowSource source = RowSource::kNone;            ///< Of the latest rows.
+    RowSource source = RowSource::kNone;  ///< Of the latest rows.
+    TimePoint failed_at{};  ///< When the last call that failed was sent.
     std::optional<TableAnnouncement> announcement;  ///< Not yet acted on.
     std::string announced_by;
   };
--- a/src/store/row_source.h
+++ b/src/store/row_source.h
@@ -25,6 +25,9 @@
   /// Time since the copy was last known to be up to date.
   Duration age{0};
   RowSource source = RowSource::kNone;  ///< Of the latest rows.
+  /// The last call for its rows failed, at the store and through other hosts,
+  /// and none have been received since.
+  bool is_cut_off = false;
 };
 
 }  // namespace currantbeam
--- a/tests/router/fleet_simulation.cc
+++ b/tests/router/fleet_simulation.cc
@@ -17,9 +17,10 @@
 constexpr Duration kWriteTimeout = milliseconds(800);
 constexpr Duration kTaskInterval = milliseconds(200);
 constexpr Duration kRequestInterval = milliseconds(100);
+constexpr Duration kEndless = std::chrono::hours(1);
 constexpr Duration kHealthTime = milliseconds(400);
-/// Half of the smallest bound of a deployment.
-constexpr Duration kMaxKnownAge = milliseconds(1000);
+/// The smallest one of a deployment.
+constexpr Duration kDrainBound = milliseconds(2000);
 constexpr Duration kBatchDelay = milliseconds(250);
 constexpr std::size_t kHostsPerReply = 4;
 constexpr double kUnlimitedMbps = 1e6;
@@ -163,6 +164,7 @@
   }
   auto FailIfCut(Duration timeout) const -> void {
     if (this->access == StoreAccess::kRejected) throw StoreError("rejected");
+    if (this->access == StoreAccess::kHung) SleepFor(kEndless);
     if (this->access != StoreAccess::kSilent) return;
     SleepFor(timeout);
     throw StoreError("silent");
@@ -267,7 +269,7 @@
     auto Serves(const BackendEntry& server, milliseconds /*timeout*/)
         -> bool override {
       SleepFor(kMessageTime);
-      const bool serves = this->fleet.left_at.count(server.id.Value()) == 0;
+      const bool serves = this->fleet.SaysItServes(server.id.Value());
       SleepFor(kMessageTime);
       return serves;
     }
@@ -390,8 +392,8 @@
 
   HealthClient health{this->fleet};
   ServingCheck serving{this->fleet.clock, this->directory, this->health,
-                       [this] { return this->store.Status(kBackends).age; },
-                       kMaxKnownAge};
+                       [this] { return this->store.Status(kBackends); },
+                       kDrainBound};
   std::map<std::string, std::string> last_states;
   BackendsListener backends_listener{
       this->schema, this->directory,
@@ -517,6 +519,16 @@
   this->Put(kBackends, server, "draining");
 }
 
+auto FleetSimulation::LeaveSilently(const std::string& server) -> void {
+  this->left_at[server] = this->clock.Now();
+  this->silent.insert(server);
+  this->Remove(kBackends, server);
+}
+
+auto FleetSimulation::SaysItServes(const std::string& server) const -> bool {
+  return this->left_at.count(server) == 0 || this->silent.count(server) != 0;
+}
+
 auto FleetSimulation::OnSend(int host, const std::string& server) -> void {
   ++this->sends[{host, server}];
   const auto left = this->left_at.find(server);
--- a/tests/router/fleet_simulation.h
+++ b/tests/router/fleet_simulation.h
@@ -21,6 +21,7 @@
   kRejected,  ///< They fail at once.
   kSilent,    ///< They get no response, and fail by their timeout.
   kLossy,     ///< One response in ten is lost.
+  kHung,      ///< They neither get a response nor fail.
 };
 
 /// Hosts that follow the same store in simulated time: each has the parts of a
@@ -74,6 +75,9 @@
   /// The server says from now on that it leaves, also when it is asked. The
   /// store accepts its entry at this time.
   auto Leave(const std::string& server) -> void;
+  /// The server's entry is removed, and the server says when it is asked that
+  /// it serves.
+  auto LeaveSilently(const std::string& server) -> void;
   /// @return how long after the server had said that it leaves the latest
   ///   request was sent to a server.
   [[nodiscard]] auto LatestSend() const -> std::chrono::milliseconds {
@@ -115,6 +119,7 @@
   };
 
   auto Start() -> void;
+  [[nodiscard]] auto SaysItServes(const std::string& server) const -> bool;
   auto OnSend(int host, const std::string& server) -> void;
   /// The host uses the row with this value; empty if it uses it no longer.
   auto OnUse(int host, const std::string& table, const std::string& key,
@@ -138,6 +143,7 @@
   std::vector<Change> changes;
   std::vector<WrittenRow> written_rows;
   std::map<std::string, TimePoint> left_at;  ///< By server.
+  std::set<std::string> silent;  ///< Servers that left without saying so.
   std::map<std::pair<int, std::string>, int> sends;
   Duration latest_send{0};
   std::map<std::shared_ptr<const std::string>, std::vector<StoreRow>> decoded;
--- a/tests/router/old_copy_test.cc
+++ b/tests/router/old_copy_test.cc
@@ -98,6 +98,22 @@
   });
 }
 
+TEST_P(OldCopyTest, NothingIsSentToServersThatLeftSilentlyWhileReadsHang) {
+  this->fleet.Run([this] {
+    this->Start();
+    this->IsolateAThird();
+    for (const int host : this->isolated) {
+      this->fleet.SetAccess(host, StoreAccess::kHung);
+    }
+    for (int i = 0; i + 1 < kServers; ++i) {
+      SleepFor(milliseconds(400));
+      this->fleet.LeaveSilently(Server(i));
+    }
+    SleepFor(seconds(3));
+    this->ExpectNoLateSend();
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(HostsAndSeed, OldCopyTest,
                          testing::Combine(testing::Values(9, 65, 295),
                                           testing::Values(1U, 2U)));
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -214,9 +214,8 @@
     return status;
   };
   SilentServers servers;
-  ServingCheck serving(
-      host.clock, host.directory, servers,
-      [&] { return host.state.servers_status().age; }, std::chrono::seconds(1));
+  ServingCheck serving(host.clock, host.directory, servers,
+                       host.state.servers_status, std::chrono::seconds(2));
   host.state.serving = &serving;
   FiberLoop loop;
   RunInFiber(loop, [&] {
