--- a/src/router/serving_check.cc
+++ b/src/router/serving_check.cc
@@ -60,7 +60,7 @@
   const ServerProcess process{target->entry.id, target->entry.started};
   const auto running = this->calls.find(process);
   if (running != this->calls.end()) return running->second;
-  const auto call = std::make_shared<Call>();
+  auto call = std::make_shared<Call>();
   this->calls[process] = call;
   // In a fiber of its own, as the first request may have less time left than
   // the others.
