--- a/src/router/forwarded_request.cc
+++ b/src/router/forwarded_request.cc
@@ -89,10 +89,6 @@
     if (this->RefuseIfSuspect()) return;
     const auto target = this->ChooseTarget();
     if (target == nullptr) return;
-    if (this->MayOutlastStop(*target)) {
-      this->Refuse("stopping", kStoppingRetryAfter, target.get());
-      return;
-    }
     if (!this->ConfirmServing(target)) {
       // Another server of the service may serve; a key has one owner.
       if (!this->request.is_keyed &&
@@ -102,6 +98,10 @@
       this->Refuse("server-unconfirmed", kNotReadyRetryAfter, target.get());
       return;
     }
+    if (this->MayOutlastStop(*target)) {
+      this->Refuse("stopping", kStoppingRetryAfter, target.get());
+      return;
+    }
     const auto outcome = this->RunAttempt(*target);
     if (outcome == AttemptOutcome::kAnswered) return;
     if (outcome == AttemptOutcome::kClientDisconnected) break;
--- a/src/router/server_attempt.cc
+++ b/src/router/server_attempt.cc
@@ -209,7 +209,8 @@
     this->request.state.directory.OnLeaving(entry.id, entry.started);
   } else if (!EndsConnection(connection)) {
     // The server has said so at any time since the request was sent.
-    this->target.served_at = this->sent_at;
+    this->target.served_at =
+        std::max(this->target.served_at.value_or(this->sent_at), this->sent_at);
   }
   if (connection.Head().result() != http::status::service_unavailable) return;
   const auto pause = ParseSeconds(connection.Field(headers.pause));
