--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -243,3 +243,6 @@
         current = [self.store] + [p.process for p in self.routers + self.all_servers]
         for process in [p for p in current if p] + self.old_processes:
             process.kill_and_wait()
+        # Another seed of the same run may use these ports.
+        for proxy in [r.store_link for r in self.routers] + [s.link for s in self.servers]:
+            proxy.stop_listening()
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -18,6 +18,10 @@
     async def start(self):
         self.server = await asyncio.start_server(self._serve, self.address, self.port)
 
+    def stop_listening(self):
+        if self.server:
+            self.server.close()
+
     def clear_faults(self):
         self.delay, self.cut_to, self.cut_back, self.refuses = 0.0, False, False, False
 
