--- a/src/standins/server/server_handler.cc
+++ b/src/standins/server/server_handler.cc
@@ -70,6 +70,7 @@
   settings.slowness = changes.value("slowness", settings.slowness);
   settings.straggler_share =
       changes.value("straggler_share", settings.straggler_share);
+  settings.status = changes.value("status", settings.status);
   settings.truncate = changes.value("truncate", settings.truncate);
   settings.lose_answers = changes.value("lose_answers", settings.lose_answers);
   settings.answer_bytes = changes.value("answer_bytes", settings.answer_bytes);
@@ -167,7 +168,7 @@
   const auto requested = HeaderNumber(exchange.Request(), "x-answer-bytes");
   const auto bytes = requested != 0 ? requested : this->behaviour.answer_bytes;
   http::response_header<> head;
-  head.result(http::status::ok);
+  head.result(this->behaviour.status);
   head.set(http::field::content_type, "application/octet-stream");
   head.set(backend_headers::kBusy, std::to_string(busy.count()));
   if (!this->behaviour.truncate && bytes <= kMaxUnsplitResponseBytes) {
--- a/src/standins/server/server_handler.h
+++ b/src/standins/server/server_handler.h
@@ -24,6 +24,7 @@
   double straggler_factor = 100;  ///< Multiplies a straggler's work.
   std::chrono::milliseconds cold{0};  ///< Slow for this long after the start.
   std::size_t answer_bytes = 200;     ///< Length of a response body.
+  unsigned status = 200;              ///< Of the response to a request.
   bool truncate = false;         ///< Sends half of the body, then disconnects.
   bool lose_answers = false;     ///< Does the work, then disconnects.
   std::size_t queue_limit = 64;  ///< Rejects a request if this many are queued.
--- a/tests/router/fleet_simulation.cc
+++ b/tests/router/fleet_simulation.cc
@@ -218,8 +218,14 @@
       for (const auto& [id, target] : this->directory.All()) {
         targets.push_back(target);
       }
+      const auto is_not_sent = [this](const BackendTargetPtr& target) {
+        return !this->MaySend(target);
+      };
+      targets.erase(std::remove_if(targets.begin(), targets.end(), is_not_sent),
+                    targets.end());
+      SleepFor(this->fleet.send_wait);
       for (const auto& target : targets) {
-        if (!this->MaySend(target)) continue;
+        if (!this->serving.IsKnownToServe(*target)) continue;
         this->fleet.OnSend(this->index, target->entry.id.Value());
       }
       SleepFor(kRequestInterval);
--- a/tests/router/fleet_simulation.h
+++ b/tests/router/fleet_simulation.h
@@ -72,6 +72,8 @@
   /// From now on, each host sends a request to each server that it may send one
   /// to, ten times a second.
   auto StartRequests() -> void;
+  /// Requests wait this long between the choice of their server and the send.
+  auto SetSendWait(Duration wait) -> void { this->send_wait = wait; }
   /// The server says from now on that it leaves, also when it is asked. The
   /// store accepts its entry at this time.
   auto Leave(const std::string& server) -> void;
@@ -146,6 +148,7 @@
   std::set<std::string> silent;  ///< Servers that left without saying so.
   std::map<std::pair<int, std::string>, int> sends;
   Duration latest_send{0};
+  Duration send_wait{0};
   std::map<std::shared_ptr<const std::string>, std::vector<StoreRow>> decoded;
   std::vector<std::unique_ptr<Host>> hosts;
 };
--- a/tests/router/old_copy_test.cc
+++ b/tests/router/old_copy_test.cc
@@ -98,6 +98,35 @@
   });
 }
 
+TEST_P(OldCopyTest, NothingIsSentAfterAWaitToAServerThatHasLeftMeanwhile) {
+  this->fleet.Run([this] {
+    this->fleet.SetSendWait(milliseconds(2500));
+    this->Start();
+    this->LeaveOneByOne();
+    this->ExpectNoLateSend();
+  });
+}
+
+TEST_P(OldCopyTest, NothingIsSentLateOnceTheCoordinatorIsGone) {
+  this->fleet.Run([this] {
+    this->Start();
+    this->fleet.Stop(this->fleet.Coordinator());
+    this->LeaveOneByOne();
+    this->ExpectNoLateSend();
+  });
+}
+
+TEST_P(OldCopyTest, NothingIsSentLateWhileResponsesOfTheStoreAreLost) {
+  this->fleet.Run([this] {
+    this->Start();
+    for (int i = 0; i < this->fleet.Hosts(); ++i) {
+      this->fleet.SetAccess(i, StoreAccess::kLossy);
+    }
+    this->LeaveOneByOne();
+    this->ExpectNoLateSend();
+  });
+}
+
 TEST_P(OldCopyTest, NothingIsSentToServersThatLeftSilentlyWhileReadsHang) {
   this->fleet.Run([this] {
     this->Start();
--- a/tests/servers/request_path_test.cc
+++ b/tests/servers/request_path_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <string>
 
 #include "gateway/response_relay.h"
@@ -32,6 +33,53 @@
   int received = 0;
 };
 
+/// A gateway that responds to requests with any status.
+class StrangeGateway : public HttpHandler {
+ public:
+  auto Handle(HttpExchange& exchange) -> void override {
+    HttpResponse response;
+    response.result(this->status);
+    response.set(http::field::content_length, "4");
+    response.body() = "body";
+    exchange.Send(std::move(response));
+  }
+  auto OnBadInput(const std::string& /*message*/) -> void override {}
+
+  unsigned status = 200;
+};
+
+constexpr std::array<unsigned, 7> kStatusesOutsideTheProtocol = {
+    0, 1, 99, 101, 199, 600, 999};
+
+TEST_F(RequestPath, RelaysNoStatusOutsideTheProtocol) {
+  this->Run([] {
+    for (const auto status : kStatusesOutsideTheProtocol) {
+      SetBehaviour({{"status", status}});
+      const auto key = std::to_string(status);
+      const auto response = SendRequest(http::verb::post, key);
+      EXPECT_EQ(response.result(), http::status::bad_gateway) << status;
+      EXPECT_EQ(VerdictOf(response), "may-have-run") << status;
+      EXPECT_EQ(RunCountOf(key), 1);
+    }
+  });
+}
+
+TEST_F(RequestPath, RelaysNoStatusOutsideTheProtocolOfAnotherGateway) {
+  this->driver = HostId("other");
+  StrangeGateway gateway;
+  HttpServer port(LocalServerOptions(kOtherGatewayPort), gateway);
+  this->Run([&] {
+    port.Listen(FiberLoop::Current());
+    for (const auto status : kStatusesOutsideTheProtocol) {
+      gateway.status = status;
+      const auto response = SendRequest(http::verb::post, "1");
+      EXPECT_EQ(response.result(), http::status::bad_gateway) << status;
+      EXPECT_EQ(VerdictOf(response), "may-have-run") << status;
+    }
+    port.StopAccepting();
+  });
+}
+
 TEST_F(RequestPath, RelaysWholeResponseWithItsVerdict) {
   this->Run([] {
     const auto response = SendRequest(http::verb::get, "1");
