--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -107,6 +107,7 @@
         return f"{self.address}:{self.port}"
 
     async def listen(self):
+        """Listens on a free port of the address."""
         self.socket = socket.socket()
         self.socket.setblocking(False)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -580,9 +581,12 @@
                 fleet.record.add("BROKEN", breach)
             fleet.record.add("result", "broken" if breaches else "held")
             return EXIT_BROKEN if breaches else EXIT_HELD
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        except Exception as error:  # pylint: disable=broad-except
+            # Whatever went wrong here says nothing about the rule.
             fleet.record.add("result", "could not run:", repr(error))
             return EXIT_NOT_RUN
         finally:
             await fleet.stop()
+    # Ends the routers, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     sys.exit(asyncio.run(run()))
