--- a/review/7/case.py
+++ b/review/7/case.py
@@ -67,7 +67,8 @@
                 except (OSError, ConnectionError, asyncio.IncompleteReadError,
                         asyncio.TimeoutError) as error:
                     self.fleet.record.add("ended without an answer", request_id, repr(error))
-                    if is_kept:
+                    # A connection that stays open was not closed without an answer.
+                    if is_kept and not isinstance(error, asyncio.TimeoutError):
                         self.cut_requests.append(request_id)
                     writer.transport.abort()
                     break
