--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,7 @@
 
 
 def overlaps(backends, now):
-    """Returns (first key, last key, holder, other holder, seconds) of holds that overlap up to now."""
+    """Returns (first key, last key, holder, other holder, seconds) of overlaps until now."""
     found = []
     for one in backends:
         for other in backends:
