--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
 import fleet as fleets  # noqa: E402
 
-BACKENDS = 6
+BACKENDS = 12
 CUT_S = 5.5
 MAX_OVERLAP_S = 0.5
 
