Let a server and a pool of connections outlive the loop that they used

Cause: HttpServer kept the acceptor, whose destructor uses the I/O context of the loop, and nothing closed it when the loop ended. 15 cases destroyed their server after the loop (heap-use-after-free; the next case aborted on x86-64). The gateway program does the same: its servers are declared before the WorkerPool with their loops. A ConnectionPool that was destroyed on the loop was used by the clean-up of the loop and by the fiber that prunes it.

Change: the accepting fiber owns the acceptor, so the port is closed when the loop stops, and the server refers to the I/O context weakly. The pool shares its idle connections with the clean-up. ScriptedServer of the tests is mended likewise.

Measured: destruction_order_test.cc on the former src/ (release): 3 of 4 cases fail (one check, two segmentation faults), APoolMayOutliveItsLoop passed. Now all pass. Address sanitizer (asan-stack=0): silent in each of the 15 cases, each run alone, and in the whole of router_test (84), idle_connection_test (39) and adapter_test (24). Release: the three programs pass whole. The other programs: ctl, load, placer, the stand-ins and the router declare their loop before what uses it.

--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -22,7 +22,7 @@
                              std::chrono::milliseconds timeout,
                              bool tcp_keep_alive)
     -> std::unique_ptr<HttpConnection> {
-  auto& connections = this->idle_connections[{address, port}];
+  auto& connections = this->idle->by_endpoint[{address, port}];
   const auto now = std::chrono::steady_clock::now();
   while (!connections.empty()) {
     auto candidate = std::move(connections.back());
@@ -38,7 +38,7 @@
 auto ConnectionPool::AcquireIdle(const std::string& address, std::uint16_t port,
                                  ConnectionNumber max_number)
     -> std::unique_ptr<HttpConnection> {
-  auto& connections = this->idle_connections[{address, port}];
+  auto& connections = this->idle->by_endpoint[{address, port}];
   const auto now = std::chrono::steady_clock::now();
   for (auto it = connections.begin(); it != connections.end();) {
     if (!CanBeUsed(*it, now)) {
@@ -61,20 +61,20 @@
   connection->Connect(timeout);
   connection->EnableTcpKeepAlive();
   this->RegisterCleanup();
-  this->idle_connections[{address, port}].push_back(
+  this->idle->by_endpoint[{address, port}].push_back(
       {std::move(connection),
        std::chrono::steady_clock::now() + HttpConnection::kDefaultIdleTimeout});
 }
 
 auto ConnectionPool::IdleCount(const std::string& address,
                                std::uint16_t port) const -> std::size_t {
-  const auto it = this->idle_connections.find({address, port});
-  return it == this->idle_connections.end() ? 0 : it->second.size();
+  const auto it = this->idle->by_endpoint.find({address, port});
+  return it == this->idle->by_endpoint.end() ? 0 : it->second.size();
 }
 
 auto ConnectionPool::IdleCount() const -> std::size_t {
   std::size_t count = 0;
-  for (const auto& [endpoint, connections] : this->idle_connections) {
+  for (const auto& [endpoint, connections] : this->idle->by_endpoint) {
     count += connections.size();
   }
   return count;
@@ -86,17 +86,20 @@
   return now < idle.expires_at && !idle.connection->IsStale();
 }
 
-auto ConnectionPool::RunPruning() -> void {
+auto ConnectionPool::RunPruning(const std::weak_ptr<IdleConnections>& pruned)
+    -> void {
   while (true) {
     SleepFor(kPruneInterval);
-    this->Prune();
+    const auto idle = pruned.lock();
+    if (idle == nullptr) return;
+    Prune(*idle);
   }
 }
 
-auto ConnectionPool::Prune() -> void {
+auto ConnectionPool::Prune(IdleConnections& idle) -> void {
   const auto now = std::chrono::steady_clock::now();
-  for (auto it = this->idle_connections.begin();
-       it != this->idle_connections.end();) {
+  auto& by_endpoint = idle.by_endpoint;
+  for (auto it = by_endpoint.begin(); it != by_endpoint.end();) {
     auto& connections = it->second;
     const auto is_unusable = [now](const IdleConnection& idle) {
       return !CanBeUsed(idle, now);
@@ -104,20 +107,21 @@
     connections.erase(
         std::remove_if(connections.begin(), connections.end(), is_unusable),
         connections.end());
-    it = connections.empty() ? this->idle_connections.erase(it) : std::next(it);
+    it = connections.empty() ? by_endpoint.erase(it) : std::next(it);
   }
 }
 
 auto ConnectionPool::RegisterCleanup() -> void {
-  if (this->is_cleanup_registered) return;
+  if (this->idle->is_cleanup_registered) return;
   // Idle connections must be destroyed before the loop whose I/O context they
   // use.
-  FiberLoop::Current().AddCleanup([this] {
-    this->idle_connections.clear();
-    this->is_cleanup_registered = false;
+  FiberLoop::Current().AddCleanup([idle = this->idle] {
+    idle->by_endpoint.clear();
+    idle->is_cleanup_registered = false;
   });
-  this->is_cleanup_registered = true;
-  FiberLoop::Current().Spawn([this] { this->RunPruning(); });
+  this->idle->is_cleanup_registered = true;
+  FiberLoop::Current().Spawn(
+      [pruned = std::weak_ptr(this->idle)] { RunPruning(pruned); });
 }
 
 auto ConnectionPool::Release(const std::string& address, std::uint16_t port,
@@ -127,7 +131,7 @@
   // It would end the connection at the first lost keepalive probe.
   connection->ClearAcknowledgementTimeout();
   this->RegisterCleanup();
-  auto& connections = this->idle_connections[{address, port}];
+  auto& connections = this->idle->by_endpoint[{address, port}];
   if (connections.size() >= kMaxIdlePerEndpoint) return;
   const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(
       connection->IdleTimeout() * kIdleTimeoutFraction);
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -14,9 +14,14 @@
 
 /// The idle connections of one FiberLoop, by endpoint. Each thread has a pool
 /// of its own that all requests share; others may be constructed. A pool is not
-/// thread-safe.
+/// thread-safe. It and its loop may be destroyed in any order.
 class ConnectionPool {
  public:
+  ConnectionPool() : idle(std::make_shared<IdleConnections>()) {}
+  ~ConnectionPool() { this->idle->by_endpoint.clear(); }
+  ConnectionPool(const ConnectionPool&) = delete;
+  auto operator=(const ConnectionPool&) -> ConnectionPool& = delete;
+
   /// @return the calling thread's pool.
   static auto Current() -> ConnectionPool&;
 
@@ -50,7 +55,7 @@
   /// Closes the idle connections that can't be used again. The pool does this
   /// periodically, as those to an endpoint that isn't called any more would
   /// otherwise stay open.
-  auto Prune() -> void;
+  auto Prune() -> void { Prune(*this->idle); }
 
  private:
   struct IdleConnection {
@@ -58,16 +63,22 @@
     std::chrono::steady_clock::time_point expires_at;
   };
   using Endpoint = std::pair<std::string, std::uint16_t>;
+  /// Shared with the loop, which destroys the connections when it stops.
+  struct IdleConnections {
+    std::map<Endpoint, std::deque<IdleConnection>> by_endpoint;
+    bool is_cleanup_registered = false;
+  };
 
   /// Registers the clean-up of the idle connections at the end of their loop.
   auto RegisterCleanup() -> void;
-  /// Calls Prune() every kPruneInterval, until the loop stops.
-  auto RunPruning() -> void;
+  static auto Prune(IdleConnections& idle) -> void;
+  /// Prunes every kPruneInterval, until the pool is destroyed or the loop
+  /// stops.
+  static auto RunPruning(const std::weak_ptr<IdleConnections>& pruned) -> void;
   static auto CanBeUsed(const IdleConnection& idle,
                         std::chrono::steady_clock::time_point now) -> bool;
 
-  std::map<Endpoint, std::deque<IdleConnection>> idle_connections;
-  bool is_cleanup_registered = false;
+  std::shared_ptr<IdleConnections> idle;
 };
 
 }  // namespace currantbeam
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -39,8 +39,7 @@
     acceptor->listen(asio::socket_base::max_listen_connections);
     {
       const std::lock_guard lock(this->mutex);
-      this->acceptors.emplace_back(&loop, acceptor);
-      this->loops.push_back(&loop);
+      this->listeners.push_back({loop.WeakIo(), acceptor});
     }
     loop.Spawn([this, acceptor] { this->AcceptLoop(acceptor); });
   } catch (const boost::system::system_error& error) {
@@ -98,14 +97,21 @@
   }
 }
 
-auto HttpServer::RejectUnreadRequests() -> void {
-  this->rejecting_unread = true;
+auto HttpServer::PostToLoops(
+    const std::function<void(const Listener&)>& function) -> void {
   const std::lock_guard lock(this->mutex);
-  for (auto* loop : this->loops) {
-    asio::post(loop->Io(), [this] { this->CancelReads(); });
+  for (const auto& listener : this->listeners) {
+    const auto io = listener.io.lock();
+    if (io == nullptr) continue;
+    asio::post(*io, [function, listener] { function(listener); });
   }
 }
 
+auto HttpServer::RejectUnreadRequests() -> void {
+  this->rejecting_unread = true;
+  this->PostToLoops([this](const Listener&) { this->CancelReads(); });
+}
+
 auto HttpServer::CancelReads() -> void {
   const std::lock_guard lock(this->mutex);
   for (auto* connection : this->reading_connections[&FiberLoop::Current()]) {
@@ -120,14 +126,12 @@
 
 auto HttpServer::StopAccepting() -> void {
   this->stopping = true;
-  const std::lock_guard lock(this->mutex);
-  for (auto& [loop, acceptor] : this->acceptors) {
-    asio::post(loop->Io(), [acceptor = acceptor] {
-      boost::system::error_code ignored;
+  this->PostToLoops([](const Listener& listener) {
+    boost::system::error_code ignored;
+    if (const auto acceptor = listener.acceptor.lock()) {
       acceptor->close(ignored);
-    });
-  }
-  this->acceptors.clear();
+    }
+  });
 }
 
 auto HttpServer::Drain(std::chrono::milliseconds timeout) -> std::size_t {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,6 +18,8 @@
 namespace currantbeam {
 
 /// Accepts HTTP connections on one address and serves each on its own fiber.
+/// Must exist until its loops have stopped; it and they may then be destroyed
+/// in any order.
 class HttpServer {
  public:
   struct Options {
@@ -65,6 +68,12 @@
  private:
   using Acceptor = boost::asio::ip::tcp::acceptor;
   class Connection;
+  /// A loop that the server listens on. The loop's accepting fiber owns the
+  /// acceptor, so the port is closed when the loop stops.
+  struct Listener {
+    std::weak_ptr<boost::asio::io_context> io;
+    std::weak_ptr<Acceptor> acceptor;
+  };
 
   auto AcceptLoop(const std::shared_ptr<Acceptor>& acceptor) -> void;
   auto Serve(TcpSocket socket) -> void;
@@ -72,6 +81,9 @@
   auto SetReading(Connection* connection, bool is_reading) -> void;
   /// Cancels the reads of incomplete requests on the calling loop.
   auto CancelReads() -> void;
+  /// Runs the function on each of the server's loops that still exists.
+  auto PostToLoops(const std::function<void(const Listener&)>& function)
+      -> void;
 
   Options options;
   HttpHandler& handler;
@@ -86,8 +98,7 @@
   std::set<Connection*> idle_connections;
   /// Connections that are receiving a request, by the loop that serves them.
   std::map<FiberLoop*, std::set<Connection*>> reading_connections;
-  std::vector<FiberLoop*> loops;  ///< All that the server listens on.
-  std::vector<std::pair<FiberLoop*, std::shared_ptr<Acceptor>>> acceptors;
+  std::vector<Listener> listeners;
 };
 
 }  // namespace currantbeam
--- a/src/runtime/fiber_loop.cc
+++ b/src/runtime/fiber_loop.cc
@@ -70,7 +70,9 @@
 
 }  // namespace
 
-FiberLoop::FiberLoop() : io(1), work(this->io.get_executor()) {}
+FiberLoop::FiberLoop()
+    : io(std::make_shared<boost::asio::io_context>(1)),
+      work(this->io->get_executor()) {}
 
 FiberLoop::FiberLoop(ManualClock& clock) : FiberLoop() {
   this->simulated = std::make_unique<SimulatedTimers>(clock);
@@ -81,9 +83,9 @@
   boost::fibers::use_scheduling_algorithm<LoopScheduler>();
   while (!this->stopped.load()) {
     while (boost::fibers::has_ready_fibers()) boost::this_fiber::yield();
-    if (this->io.poll() != 0 || boost::fibers::has_ready_fibers()) continue;
+    if (this->io->poll() != 0 || boost::fibers::has_ready_fibers()) continue;
     if (this->simulated && this->simulated->AdvanceToNext()) continue;
-    this->io.run_one();
+    this->io->run_one();
   }
   // No handler runs from here on, so fibers that still wait have to unwind.
   Wakeup::StopAll();
@@ -103,7 +105,7 @@
 
 auto FiberLoop::Stop() -> void {
   this->stopped.store(true);
-  boost::asio::post(this->io, [] {});
+  boost::asio::post(*this->io, [] {});
 }
 
 auto FiberLoop::Spawn(std::function<void()> body) -> void {
@@ -111,7 +113,7 @@
     Launch(std::move(body));
     return;
   }
-  boost::asio::post(this->io, [body = std::move(body)]() mutable {
+  boost::asio::post(*this->io, [body = std::move(body)]() mutable {
     Launch(std::move(body));
   });
 }
--- a/src/runtime/fiber_loop.h
+++ b/src/runtime/fiber_loop.h
@@ -23,7 +23,11 @@
   /// is advanced to the next timer. Such a loop does no I/O.
   explicit FiberLoop(ManualClock& clock);
 
-  auto Io() -> boost::asio::io_context& { return this->io; }
+  auto Io() -> boost::asio::io_context& { return *this->io; }
+  /// @return the I/O context, for objects that may outlive the loop.
+  [[nodiscard]] auto WeakIo() const -> std::weak_ptr<boost::asio::io_context> {
+    return this->io;
+  }
   /// Runs the loop on the calling thread until Stop(). Then all waiting fibers
   /// unwind, and the cleanups run.
   auto Run() -> void;
@@ -44,7 +48,7 @@
   static auto Current() -> FiberLoop&;
 
  private:
-  boost::asio::io_context io;
+  std::shared_ptr<boost::asio::io_context> io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   std::atomic<bool> stopped{false};
   std::vector<std::function<void()>> cleanups;
--- a/tests/platform_wire/scripted_server.cc
+++ b/tests/platform_wire/scripted_server.cc
@@ -59,20 +59,20 @@
 
 auto ScriptedServer::Listen() -> void {
   auto& loop = FiberLoop::Current();
-  this->acceptor = std::make_unique<Acceptor>(loop.Io());
+  const auto acceptor = std::make_shared<Acceptor>(loop.Io());
   const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), this->port);
-  this->acceptor->open(endpoint.protocol());
-  this->acceptor->set_option(tcp::acceptor::reuse_address(true));
-  this->acceptor->bind(endpoint);
-  this->acceptor->listen(asio::socket_base::max_listen_connections);
-  loop.Spawn([this] { this->AcceptLoop(); });
+  acceptor->open(endpoint.protocol());
+  acceptor->set_option(tcp::acceptor::reuse_address(true));
+  acceptor->bind(endpoint);
+  acceptor->listen(asio::socket_base::max_listen_connections);
+  loop.Spawn([this, acceptor] { this->AcceptLoop(*acceptor); });
 }
 
-auto ScriptedServer::AcceptLoop() -> void {
+auto ScriptedServer::AcceptLoop(Acceptor& acceptor) -> void {
   while (true) {
     TcpSocket socket(FiberLoop::Current().Io().get_executor());
-    const auto result = Await(
-        [&](auto handler) { this->acceptor->async_accept(socket, handler); });
+    const auto result =
+        Await([&](auto handler) { acceptor.async_accept(socket, handler); });
     if (result.error) return;
     auto connection = std::make_shared<ScriptedConnection>(std::move(socket),
                                                            this->accepted++);
--- a/tests/platform_wire/scripted_server.h
+++ b/tests/platform_wire/scripted_server.h
@@ -53,11 +53,10 @@
  private:
   using Acceptor = boost::asio::basic_socket_acceptor<
       boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
-  auto AcceptLoop() -> void;
+  auto AcceptLoop(Acceptor& acceptor) -> void;
 
   std::uint16_t port;
   Script script;
-  std::unique_ptr<Acceptor> acceptor;
   int accepted = 0;
 };
 
