End a server's grants early only if another process answers at its address

Cause: an entry in the store counted as proof that the owner had ended, and entries are asserted by whoever writes them. Rows that PROTOCOL.md calls another writer's (a service that isn't named, a missing seq or version) counted as servers everywhere. A 421 without an id counted as proof, too.

Change: only an answer of another process that states its id ends grants; an entry at the address ends the pause of calls, so that the address is asked. BackendDirectory uses no entry of a service that isn't configured.

--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -26,7 +26,45 @@
 
 }  // namespace
 
+auto BackendDirectory::SetServices(std::set<ServiceName> services) -> void {
+  if (this->services == services) return;
+  this->services = std::move(services);
+  std::vector<BackendEntry> changed;
+  for (const auto& [id, target] : this->targets) {
+    const auto& entry = target->entry;
+    if (!this->IsConfigured(entry.service)) changed.push_back(entry);
+  }
+  for (const auto& [id, entry] : this->set_aside) {
+    if (this->IsConfigured(entry.service)) changed.push_back(entry);
+  }
+  for (const auto& entry : changed) {
+    if (!this->Apply(entry)) continue;
+    Log(events::kBackendKnown,
+        {{"server", entry.id.Value()},
+         {"service", entry.service.Value()},
+         {"domain", entry.domain.Value()},
+         {"state", entry.is_draining ? "draining" : "ready"}});
+  }
+}
+
+auto BackendDirectory::SetAside(const BackendEntry& entry) -> void {
+  if (this->set_aside.insert_or_assign(entry.id, entry).second) {
+    Log(events::kBackendUnread,
+        {{"server", entry.id.Value()},
+         {"error", "no service '" + entry.service.Value() + "'"}});
+  }
+  this->held.erase(entry.id);
+  this->expired.erase(entry.id);
+  this->RemoveTarget(entry.id);
+  this->Rebuild();
+}
+
 auto BackendDirectory::Apply(const BackendEntry& published) -> bool {
+  if (!this->IsConfigured(published.service)) {
+    this->SetAside(published);
+    return false;
+  }
+  this->set_aside.erase(published.id);
   const auto entry = this->WithLeaving(published);
   const auto reason = this->CheckAge(entry);
   if (reason) {
@@ -123,6 +161,7 @@
 
 auto BackendDirectory::Remove(const ServerId& id) -> void {
   this->held.erase(id);
+  this->set_aside.erase(id);
   const auto kept_until = this->GracePeriodEnd();
   const auto kept_for = kept_until - this->clock.Now();
   if (kept_for > Duration(0)) {
--- a/src/backends/backend_directory.h
+++ b/src/backends/backend_directory.h
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -17,6 +19,10 @@
   explicit BackendDirectory(const Clock& clock)
       : clock(clock), removed(clock) {}
 
+  /// Sets the services of the configuration; before that, every service counts
+  /// as one. An entry of another service names no server to use, but is kept in
+  /// case that the service is configured later.
+  auto SetServices(std::set<ServiceName> services) -> void;
   /// Adds or updates a server. If it has restarted, or its address or service
   /// has changed, its observed load is reset.
   ///
@@ -29,7 +35,8 @@
   /// back whatever its sequence, as the store may update the sequence alone
   /// without reporting a change. At other times it is used at once, unless its
   /// sequence is lower than the last one.
-  /// @return whether the entry is in use; false if it is held back.
+  /// @return whether the entry is in use; false if it is held back, or of a
+  ///   service that is not configured.
   auto Apply(const BackendEntry& published) -> bool;
   /// The server's entry was removed from the store. Within the grace period
   /// after the store has recovered or was restored, the server is kept until
@@ -93,6 +100,12 @@
   /// @return the entry, as draining if its server process leaves.
   [[nodiscard]] auto WithLeaving(BackendEntry entry) const -> BackendEntry;
   auto ForgetLeavingProcesses(TimePoint now) -> void;
+  [[nodiscard]] auto IsConfigured(const ServiceName& service) const -> bool {
+    return !this->services || this->services->count(service) != 0;
+  }
+  /// Keeps the entry of a service that is not configured; its server gets no
+  /// requests.
+  auto SetAside(const BackendEntry& entry) -> void;
   /// @return why the entry is older than what is known of the server; empty if
   ///   it isn't.
   [[nodiscard]] auto CheckAge(const BackendEntry& entry) const
@@ -115,6 +128,8 @@
   /// Servers without an entry, with the end of their grace period.
   std::map<ServerId, TimePoint> expired;
   std::map<ServerId, HeldEntry> held;
+  std::optional<std::set<ServiceName>> services;
+  std::map<ServerId, BackendEntry> set_aside;
   std::map<ServerId, LeavingProcess> leaving;
   RemovedServers removed;
   bool is_restoring = false;      ///< A restored table is being applied.
--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -106,25 +106,6 @@
   this->loads = std::move(loads);
 }
 
-auto GrantScheduler::OnAddressReused(const std::string& address,
-                                     std::uint16_t port, const ServerId& id,
-                                     std::chrono::milliseconds started)
-    -> void {
-  for (int i = 0; i < this->map.StripeCount(); ++i) {
-    const auto* owner = this->map.OwnerOf(i);
-    if (owner == nullptr) continue;
-    const bool is_same_address =
-        owner->address == address && owner->port == port;
-    // The entry of a process that used the address before the owner may still
-    // be listed.
-    const bool is_later_server = owner->id != id && started > owner->started;
-    auto& stripe = this->stripes[i];
-    if (is_same_address && is_later_server && stripe.is_unreachable) {
-      stripe.held_until = TimePoint{};
-    }
-  }
-}
-
 auto GrantScheduler::UnreachableOwners() const -> std::vector<KeyOwner> {
   const auto& owners = this->map.Owners();
   std::vector<bool> marked(owners.size());
--- a/src/keys/grant_scheduler.h
+++ b/src/keys/grant_scheduler.h
@@ -83,17 +83,10 @@
   /// @return whether the owner has a stripe that it may hold or is about to be
   ///   granted.
   [[nodiscard]] auto MayHoldStripes(const KeyOwner& owner) const -> bool;
-  /// Call when a server's process is registered at an owner's address. An
-  /// unreachable owner has then ended if it is another server's and started
-  /// earlier, and so have its grants. A later process of the same server may
-  /// have accepted them, so they keep their expiry.
-  auto OnAddressReused(const std::string& address, std::uint16_t port,
-                       const ServerId& id, std::chrono::milliseconds started)
-      -> void;
-
   /// Call when another server responds at the owner's address: the owner has
-  /// ended, and so have its grants. Call before the On method for the command
-  /// that it responded to.
+  /// ended, and so have its grants. Nothing else proves that before they
+  /// expire, as an entry in the store may be another writer's. Call before the
+  /// On method for the command that it responded to.
   auto OnOwnerReplaced(const KeyOwner& owner) -> void;
   /// Call when the owner refuses connections or does not respond. It may have
   /// restarted without its grants before its registration shows that, so its
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -124,7 +124,7 @@
 }
 
 auto KeyCoordinator::SendCommands(ServiceCoordinator& service) -> void {
-  this->ReportReusedAddresses(service.Scheduler());
+  this->ResumeCallsToReusedAddresses(service.Scheduler());
   const auto commands =
       service.TakeDueCommands(this->EligibleServersOf(service.Name()));
   for (const auto& command : commands) this->Dispatch(service, command);
@@ -175,14 +175,17 @@
   if (update) this->on_change(*update);
 }
 
-auto KeyCoordinator::ReportReusedAddresses(GrantScheduler& scheduler) const
-    -> void {
+auto KeyCoordinator::ResumeCallsToReusedAddresses(
+    const GrantScheduler& scheduler) -> void {
   for (const auto& owner : scheduler.UnreachableOwners()) {
+    auto& queue = this->queues[QueueKey(owner)];
     for (const auto& [id, target] : this->directory.All()) {
       const auto& entry = target->entry;
       if (entry.address != owner.address || entry.port != owner.port) continue;
-      scheduler.OnAddressReused(entry.address, entry.port, entry.id,
-                                entry.started);
+      const auto latest = std::max(owner.started, queue.resumed_for);
+      if (entry.id == owner.id || entry.started <= latest) continue;
+      queue.resumed_for = entry.started;
+      queue.paused_until = TimePoint{};
     }
   }
 }
--- a/src/keys/key_coordinator.h
+++ b/src/keys/key_coordinator.h
@@ -84,6 +84,8 @@
     /// not called until then.
     KeyOwner replaced;
     TimePoint replaced_until{};
+    /// The latest start in the entries that ended a pause.
+    std::chrono::milliseconds resumed_for{0};
   };
 
   auto RunLease() -> void;
@@ -94,9 +96,9 @@
   auto RunCommits() -> void;
   auto SendCommands(ServiceCoordinator& service) -> void;
   auto Commit(ServiceCoordinator& service) -> void;
-  /// Passes servers that listen at addresses of unreachable owners to the
-  /// scheduler.
-  auto ReportReusedAddresses(GrantScheduler& scheduler) const -> void;
+  /// Ends the pause of calls to the address of an unreachable owner once the
+  /// entry of a later process names it, as that process would respond.
+  auto ResumeCallsToReusedAddresses(const GrantScheduler& scheduler) -> void;
   /// Calls the service's ready servers that are unreachable and hold no stripe,
   /// so that they become eligible again once they respond.
   auto ProbeUnreachableServers(ServiceCoordinator& service) -> void;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -187,10 +187,13 @@
   limits.header_timeout = config.limits.header_timeout;
   limits.idle_timeout = config.limits.idle_timeout;
   this->caller_server.SetLimits(limits);
+  std::set<ServiceName> services;
   std::set<ServiceName> keyed;
   for (const auto& [name, spec] : config.services) {
+    services.insert(name);
     if (spec.is_keyed) keyed.insert(name);
   }
+  this->directory.SetServices(std::move(services));
   this->coordinator.SetServices(keyed);
   // Requests may arrive from now on, and the first limits depend on the number
   // of hosts.
--- a/tests/platform_wire/grant_client_test.cc
+++ b/tests/platform_wire/grant_client_test.cc
@@ -167,6 +167,45 @@
   });
 }
 
+/// Answers one request of each connection with the status and header lines.
+auto AnswerWith(const std::string& lines) -> ScriptedServer::Script {
+  return [lines](ScriptedConnection& connection) {
+    while (connection.ReadRequest()) {
+      connection.Write("HTTP/1.1 " + lines + "Content-Length: 0\r\n\r\n");
+    }
+  };
+}
+
+// A refusal that names no other server ended the grants of the owner.
+TEST(PlatformGrantClient,
+     OnlyARefusalWithAnotherServersIdProvesThatOneListens) {
+  const std::string refusal = "421 Misdirected Request\r\n";
+  const std::vector<std::pair<std::string, bool>> cases = {
+      {refusal + "X-Instance-Id: b\r\n", true},
+      {refusal + "X-Instance-Id: a\r\n", false},
+      {refusal + "X-Instance-Id: \r\n", false},
+      {refusal + "X-Instance-Id: \xe9\r\n", false},
+      {refusal, false},
+      {"503 Service Unavailable\r\nX-Instance-Id: b\r\n", false}};
+  for (const auto& [lines, is_other] : cases) {
+    ScriptedServer server(TestPort(23), AnswerWith(lines));
+    FiberLoop loop;
+    PlatformGrantClient client;
+    RunInFiber(loop, [&, is_other = is_other, lines = lines] {
+      server.Listen();
+      GrantCall call;
+      call.owner = {ServerId("a"), milliseconds(1), "127.0.0.1", TestPort(23)};
+      call.timeout = milliseconds(60'000);
+      const auto granted = client.Grant(call);
+      EXPECT_EQ(granted.reply == GrantReply::kOtherServer, is_other) << lines;
+      const auto released =
+          client.Release(call.owner, {0, 31}, 1, call.timeout);
+      EXPECT_EQ(released.is_other_server, is_other) << lines;
+      EXPECT_FALSE(released.is_released);
+    });
+  }
+}
+
 // A coordinator that kept all bytes would exceed its memory, and so would the
 // next one.
 TEST(PlatformGrantClient, AnEndlessResponseToAGrantIsNoResponse) {
--- a/tests/router/backend_directory_test.cc
+++ b/tests/router/backend_directory_test.cc
@@ -42,6 +42,24 @@
   BackendDirectory directory{this->clock};
 };
 
+// An entry of another writer, whose service no configuration names, was a
+// target like any other.
+TEST_F(RestoredEntryTest, IsNoServerWhileItsServiceIsNotConfigured) {
+  const ServiceName own("s");
+  this->directory.Apply(this->Entry(1, 5));
+  this->directory.SetServices({ServiceName("t")});
+  EXPECT_TRUE(this->directory.All().empty());
+  EXPECT_FALSE(this->directory.Apply(this->Entry(1, 6)));
+  EXPECT_TRUE(this->directory.All().empty());
+  this->directory.SetServices({own, ServiceName("t")});
+  EXPECT_TRUE(this->IsReady());
+  EXPECT_EQ(this->directory.Find(ServerId("a"))->entry.sequence, 6U);
+  this->directory.SetServices({});
+  this->directory.Remove(ServerId("a"));
+  this->directory.SetServices({own});
+  EXPECT_TRUE(this->directory.All().empty());
+}
+
 TEST_F(RestoredEntryTest, DoesNotMakeADrainingServerReadyAgain) {
   this->directory.Apply(this->Entry(1, 5));
   this->directory.Apply(this->DrainingEntry(1, 8));
