Count the failed calls of each owner at an address by itself

Callers saw keys unserved: two entries at one address that does not respond (an entry of another writer, or of a server that ended) made their failures alternate, and each change of the owner reset the count. So neither counted as unreachable, and the keys stayed with a server that nobody reaches.

An owner that is still listed is not forgotten: the calls of the other one at its address may keep it from being probed.

--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -23,6 +23,8 @@
 /// How long an owner that was found to have ended is not called. Its entry is
 /// removed earlier.
 constexpr auto kReplacedRetention = std::chrono::seconds(10);
+/// How long an owner without an entry counts as failing after its last failure.
+constexpr auto kFailureRetention = std::chrono::seconds(10);
 
 auto OwnerOf(const BackendEntry& entry) -> KeyOwner {
   return {entry.id, entry.started, entry.address, entry.port};
@@ -211,7 +213,7 @@
   return newer;
 }
 
-auto KeyCoordinator::EligibleServersOf(const ServiceName& name) const
+auto KeyCoordinator::EligibleServersOf(const ServiceName& name)
     -> std::vector<EligibleServer> {
   std::vector<EligibleServer> servers;
   for (const auto& target : this->directory.Ready(name)) {
@@ -331,16 +333,37 @@
 auto KeyCoordinator::RecordReply(CallQueue& queue, const KeyOwner& owner,
                                  bool has_responded) -> void {
   const auto now = this->clock.Now();
-  // Another server may use the address by now.
-  if (has_responded || !(queue.failing == owner)) queue.failures_in_row = 0;
+  auto& failing = queue.failing;
+  const auto is_over = [&](const FailingOwner& one) {
+    const bool is_old = now - one.last_failure_at > kFailureRetention;
+    return (has_responded && one.owner == owner) ||
+           (is_old && !this->IsListed(one.owner));
+  };
+  failing.erase(std::remove_if(failing.begin(), failing.end(), is_over),
+                failing.end());
   if (has_responded) return;
-  queue.failing = owner;
-  if (queue.failures_in_row == 0) queue.first_failure_at = now;
-  if (++queue.failures_in_row >= kMinFailuresToPause) {
+  auto one = FindFailing(queue, owner);
+  if (one == failing.end()) {
+    one = failing.insert(failing.end(), {owner, now, now, 0});
+  }
+  one->last_failure_at = now;
+  if (++one->failures >= kMinFailuresToPause) {
     queue.paused_until = now + kPauseAfterFailures;
   }
 }
 
+auto KeyCoordinator::IsListed(const KeyOwner& owner) const -> bool {
+  const auto target = this->directory.Find(owner.id);
+  return target != nullptr && OwnerOf(target->entry) == owner;
+}
+
+auto KeyCoordinator::FindFailing(CallQueue& queue, const KeyOwner& owner)
+    -> std::vector<FailingOwner>::iterator {
+  return std::find_if(
+      queue.failing.begin(), queue.failing.end(),
+      [&owner](const FailingOwner& one) { return one.owner == owner; });
+}
+
 auto KeyCoordinator::OnOwnerReplaced(CallQueue& queue, const KeyOwner& owner,
                                      GrantScheduler& scheduler) -> void {
   queue.replaced = owner;
@@ -354,14 +377,14 @@
   return queue.replaced == owner && this->clock.Now() < queue.replaced_until;
 }
 
-auto KeyCoordinator::IsUnreachable(const KeyOwner& owner) const -> bool {
+auto KeyCoordinator::IsUnreachable(const KeyOwner& owner) -> bool {
   const auto it = this->queues.find(QueueKey(owner));
   if (it == this->queues.end()) return false;
-  if (this->IsReplaced(it->second, owner)) return true;
-  const bool is_failing =
-      it->second.failures_in_row != 0 && it->second.failing == owner;
-  if (!is_failing) return false;
-  return this->clock.Now() - it->second.first_failure_at > kUnreachableTimeout;
+  auto& queue = it->second;
+  if (this->IsReplaced(queue, owner)) return true;
+  const auto failing = FindFailing(queue, owner);
+  return failing != queue.failing.end() &&
+         this->clock.Now() - failing->first_failure_at > kUnreachableTimeout;
 }
 
 }  // namespace currantbeam
--- a/src/keys/key_coordinator.h
+++ b/src/keys/key_coordinator.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "backends/backends.h"
 #include "keys/coordinator_lease.h"
@@ -66,6 +67,13 @@
     ServiceCoordinator coordinator;
     bool is_keyed = true;  ///< In the newest configuration.
   };
+  /// An owner whose last calls have all failed.
+  struct FailingOwner {
+    KeyOwner owner;
+    TimePoint first_failure_at{};
+    TimePoint last_failure_at{};
+    int failures = 0;
+  };
   /// Calls to one server address. They start in order, a few at a time.
   struct CallQueue {
     struct Call {
@@ -76,9 +84,7 @@
     int fibers = 0;
     int grants_in_flight = 0;
     TimePoint paused_until{};
-    KeyOwner failing;              ///< The owner whose calls failed in a row.
-    TimePoint first_failure_at{};  ///< Of the failures in a row.
-    int failures_in_row = 0;
+    std::vector<FailingOwner> failing;
     bool is_probing = false;
     /// The last owner with this address that was found to have ended, which is
     /// not called until then.
@@ -106,7 +112,7 @@
   auto Probe(CallQueue& queue, const KeyOwner& owner, GrantScheduler& scheduler)
       -> void;
   /// @return the service's ready servers that respond, weighted by their slots.
-  [[nodiscard]] auto EligibleServersOf(const ServiceName& name) const
+  [[nodiscard]] auto EligibleServersOf(const ServiceName& name)
       -> std::vector<EligibleServer>;
   auto Dispatch(ServiceCoordinator& service, const KeyCommand& command) -> void;
   /// Starts fibers for the calls that wait, up to the maximum per server.
@@ -122,6 +128,10 @@
                    GrantScheduler& scheduler) -> void;
   auto RecordReply(CallQueue& queue, const KeyOwner& owner, bool has_responded)
       -> void;
+  /// @return whether the directory has the entry of this process.
+  [[nodiscard]] auto IsListed(const KeyOwner& owner) const -> bool;
+  static auto FindFailing(CallQueue& queue, const KeyOwner& owner)
+      -> std::vector<FailingOwner>::iterator;
   /// Another server responded to a call at the owner's address.
   auto OnOwnerReplaced(CallQueue& queue, const KeyOwner& owner,
                        GrantScheduler& scheduler) -> void;
@@ -129,7 +139,7 @@
                                 const KeyOwner& owner) const -> bool;
   /// @return whether calls to the owner have failed for too long, or
   ///   another server has responded to one.
-  [[nodiscard]] auto IsUnreachable(const KeyOwner& owner) const -> bool;
+  [[nodiscard]] auto IsUnreachable(const KeyOwner& owner) -> bool;
   static auto QueueKey(const KeyOwner& owner) -> std::string;
 
   StoreClient& store;
--- a/tests/keys/owner_end_test.cc
+++ b/tests/keys/owner_end_test.cc
@@ -162,6 +162,17 @@
   });
 }
 
+// The failures of two servers at one address were counted as a row of either,
+// so neither counted as unreachable, and the keys stayed with them.
+TEST_P(EntryAtAddress, LeavesNoKeysWithAServerThatIsCutOff) {
+  this->Run([this] {
+    this->Put();
+    this->servers.cut_port = this->owner.port;
+    SleepFor(seconds(30));
+    EXPECT_EQ(this->servers.HeldRanges(), kDefaultStripeCount);
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Entry, EntryAtAddress,
     testing::Values(
