Let no text of another process, and no exception, end a process

Cause: a handover with a byte that is not UTF-8 went from a header into a JSON body, json::dump() threw, nothing caught it, and FiberLoop let it end the process.

An exception that leaves a fiber or a step of repeated work is logged (920) and counted, and the work goes on; a call that throws counts as one without a response. A request that fails so gets 502 in place of a closed connection. Waiting for a read whose call threw ends. Labels of metrics are escaped. RunInFiber and the soak fail on such an exception, as they did when it ended the process.

--- a/src/config/configuration.cc
+++ b/src/config/configuration.cc
@@ -310,7 +310,7 @@
   for (const auto& change : nlohmann::json::diff(old_form, new_form)) {
     auto line = change.at("op").get<std::string>() + " " +
                 change.at("path").get<std::string>();
-    if (change.contains("value")) line += " " + change.at("value").dump();
+    if (change.contains("value")) line += " " + ToJsonText(change.at("value"));
     lines.push_back(line);
   }
   return lines;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,6 +7,7 @@
 #include "core/connection_number.h"
 #include "core/error.h"
 #include "core/id.h"
+#include "core/json_text.h"
 #include "core/lease_timing.h"
 #include "core/log_event.h"
 #include "core/stop_schedule.h"
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -58,6 +58,7 @@
 constexpr LogEvent kReportLost{804, LogLevel::kInfo, "report-lost"};
 
 constexpr LogEvent kUpdateLost{805, LogLevel::kInfo, "update-lost"};
+constexpr LogEvent kHandoverDropped{806, LogLevel::kWarn, "handover-dropped"};
 
 constexpr LogEvent kRoutesInForce{900, LogLevel::kInfo, "routes-in-force"};
 constexpr LogEvent kRoutesUnread{901, LogLevel::kError, "routes-unread"};
@@ -78,5 +79,6 @@
 constexpr LogEvent kCopyFetched{917, LogLevel::kInfo, "copy-fetched"};
 constexpr LogEvent kLoopLate{918, LogLevel::kInfo, "loop-late"};
 constexpr LogEvent kServerAsked{919, LogLevel::kInfo, "server-asked"};
+constexpr LogEvent kFiberFailed{920, LogLevel::kError, "fiber-failed"};
 
 }  // namespace currantbeam::events
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -17,6 +17,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/events.h"
+#include "core/json_text.h"
 #include "core/log_budget.h"
 #include "core/log_output.h"
 
@@ -27,8 +28,7 @@
 
 auto ToJsonString(std::string_view text) -> std::string {
   // Input from other processes may be invalid UTF-8; the output is ASCII.
-  return nlohmann::json(text).dump(-1, ' ', true,
-                                   nlohmann::json::error_handler_t::replace);
+  return ToAsciiJsonText(nlohmann::json(text));
 }
 
 /// @return the current UTC time in ISO 8601, with milliseconds.
@@ -207,7 +207,7 @@
   } else if (const auto* boolean = std::get_if<bool>(&this->value)) {
     line += *boolean ? "true" : "false";
   } else {
-    line += nlohmann::json(std::get<double>(this->value)).dump();
+    line += ToAsciiJsonText(std::get<double>(this->value));
   }
 }
 
--- a/src/ctl/command_client.cc
+++ b/src/ctl/command_client.cc
@@ -63,7 +63,7 @@
 
 auto CommandClient::Post(const std::string& target, const nlohmann::json& body)
     -> CommandResponse {
-  return this->Call(target, body.dump(), true);
+  return this->Call(target, ToJsonText(body), true);
 }
 
 }  // namespace currantbeam
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -38,7 +38,7 @@
 }
 
 auto ToText(const nlohmann::json& value) -> std::string {
-  return value.is_string() ? value.get<std::string>() : value.dump();
+  return value.is_string() ? value.get<std::string>() : ToJsonText(value);
 }
 
 }  // namespace
@@ -92,7 +92,7 @@
 auto Commands::CheckResponse(const CommandResponse& response) -> bool {
   const bool is_ok = response.status == kHttpOk;
   if (this->options.json) {
-    this->out << response.body.dump(2) << "\n";
+    this->out << ToReadableJsonText(response.body) << "\n";
   } else if (!is_ok) {
     this->out << "error: "
               << ToText(response.body.value("error", nlohmann::json())) << "\n";
@@ -151,7 +151,7 @@
   for (const auto& [domain, version] : response.body.at("in_force").items()) {
     this->out << "in force in " << domain << ": " << version << "\n";
   }
-  this->out << response.body.at("configuration").dump(2) << "\n";
+  this->out << ToReadableJsonText(response.body.at("configuration")) << "\n";
   return kSuccess;
 }
 
@@ -170,7 +170,7 @@
   }
   const auto lines = DescribeChanges(before, after);
   if (this->options.json) {
-    this->out << nlohmann::json(lines).dump(2) << "\n";
+    this->out << ToReadableJsonText(nlohmann::json(lines)) << "\n";
     return kSuccess;
   }
   for (const auto& line : lines) this->out << line << "\n";
@@ -242,9 +242,9 @@
     SleepFor(kPollInterval);
   }
   if (this->options.json) {
-    this->out
-        << nlohmann::json{{"version", version}, {"accepted", accepted}}.dump(2)
-        << "\n";
+    this->out << ToReadableJsonText(
+                     {{"version", version}, {"accepted", accepted}})
+              << "\n";
     return accepted ? kSuccess : kNotInForce;
   }
   if (accepted) {
--- a/src/http/connect_probe.cc
+++ b/src/http/connect_probe.cc
@@ -11,7 +11,10 @@
 auto IsConnectionRefused(const std::string& address, std::uint16_t port,
                          std::chrono::milliseconds timeout) -> bool {
   namespace asio = boost::asio;
-  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address), port);
+  boost::system::error_code address_error;
+  const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(address, address_error), port);
+  if (address_error) return false;
   TcpStream stream(FiberLoop::Current().Io());
   stream.expires_after(timeout);
   const auto result =
--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -87,8 +87,12 @@
 }
 
 auto HttpConnection::Connect(std::chrono::milliseconds timeout) -> void {
-  const tcp::endpoint endpoint(asio::ip::make_address(this->address),
-                               this->port);
+  boost::system::error_code address_error;
+  const tcp::endpoint endpoint(
+      asio::ip::make_address(this->address, address_error), this->port);
+  if (address_error) {
+    throw RequestError(Verdict::kNotRun, "no IP address: " + this->address);
+  }
   this->connected = true;
   this->StartTimeout(timeout, Verdict::kNotRun);
   const auto result = Await(
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -440,11 +440,14 @@
 }
 
 auto HttpServer::Connection::HandleRequest() -> void {
-  try {
-    this->server.handler.Handle(*this);
-  } catch (const std::exception&) {
-    this->broken = true;
-  }
+  const bool has_ended = TryStep("handler", [this] {
+    try {
+      this->server.handler.Handle(*this);
+    } catch (const RequestError&) {
+      this->broken = true;
+    }
+  });
+  this->broken |= !has_ended;
 }
 
 auto HttpServer::Connection::Close() -> void {
--- a/src/keys/coordinator_lease.cc
+++ b/src/keys/coordinator_lease.cc
@@ -181,11 +181,12 @@
 
 auto CoordinatorLease::Encode(Duration expires_at) -> std::string {
   // The count makes each written value unique.
-  return nlohmann::json{
-      {"holder", this->options.holder},   {"endpoint", this->options.endpoint},
-      {"until_us", expires_at.count()},   {"epoch", this->version.epoch},
-      {"first_epoch", this->first_epoch}, {"write", ++this->write_count}}
-      .dump();
+  return ToJsonText({{"holder", this->options.holder},
+                     {"endpoint", this->options.endpoint},
+                     {"until_us", expires_at.count()},
+                     {"epoch", this->version.epoch},
+                     {"first_epoch", this->first_epoch},
+                     {"write", ++this->write_count}});
 }
 
 auto CoordinatorLease::Decode(const std::string& text)
--- a/src/keys/grant_client.h
+++ b/src/keys/grant_client.h
@@ -25,6 +25,7 @@
 enum class GrantReply {
   kAccepted,
   kStaleToken,     ///< The server knows a higher token for one of the keys.
+  kMalformed,      ///< The server could not read it, as its handover may be.
   kRejected,       ///< The server responded and did not accept it.
   kConnectFailed,  ///< The server cannot have received the grant.
   kOtherServer,    ///< Another server responded, so the owner has ended.
--- a/src/keys/grant_scheduler.cc
+++ b/src/keys/grant_scheduler.cc
@@ -288,6 +288,8 @@
     stripe.is_first_grant = false;
     stripe.handover.clear();
   }
+  // Without it, the keys are slow at first; with it, they would stay unserved.
+  if (result.reply == GrantReply::kMalformed) stripe.handover.clear();
   if (result.reply == GrantReply::kStaleToken) stripe.is_token_stale = true;
 }
 
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -80,7 +80,8 @@
 auto KeyCoordinator::RunLease() -> void {
   SleepFor(this->lease.FirstStepDelay());
   while (!this->stopped) {
-    const auto pause = this->StepLease();
+    Duration pause = kPollInterval;
+    TryStep("keeper-lease", [&] { pause = this->StepLease(); });
     const bool is_held = this->lease.IsHeld();
     if (is_held != this->was_held) {
       Log(events::kKeeperRole, {{"role", is_held ? "active" : "standby"}});
@@ -108,8 +109,11 @@
 auto KeyCoordinator::RunCommands() -> void {
   while (!this->stopped) {
     if (this->lease.IsHeld()) {
-      for (auto& [name, service] : this->services) {
-        if (service.is_keyed) this->SendCommands(service.coordinator);
+      for (auto& [name, keyed] : this->services) {
+        auto& service = keyed;
+        if (!service.is_keyed) continue;
+        TryStep("keeper-commands",
+                [&, this] { this->SendCommands(service.coordinator); });
       }
     }
     SleepFor(kPollInterval);
@@ -118,8 +122,11 @@
 
 auto KeyCoordinator::RunCommits() -> void {
   while (!this->stopped) {
-    for (auto& [name, service] : this->services) {
-      if (service.is_keyed) this->Commit(service.coordinator);
+    for (auto& [name, keyed] : this->services) {
+      auto& service = keyed;
+      if (!service.is_keyed) continue;
+      TryStep("keeper-commits",
+              [&, this] { this->Commit(service.coordinator); });
     }
     SleepFor(kPollInterval);
   }
@@ -157,9 +164,8 @@
                            GrantScheduler& scheduler) -> void {
   if (this->stopped || !this->lease.IsHeld()) return;
   const auto& map = scheduler.Map();
-  const auto reply =
-      this->grant_client.Release(owner, map.KeysOf(0), map.LastToken(),
-                                 ToMillis(this->timing.call_timeout));
+  const auto reply = this->SendRelease(owner, map.KeysOf(0), map.LastToken(),
+                                       this->timing.call_timeout);
   if (reply.is_other_server) {
     this->OnOwnerReplaced(queue, owner, scheduler);
     return;
@@ -271,6 +277,24 @@
   return true;
 }
 
+auto KeyCoordinator::SendGrant(const GrantCall& call) -> GrantResult {
+  GrantResult result;
+  const bool has_ended =
+      TryStep("grant", [&] { result = this->grant_client.Grant(call); });
+  if (!has_ended) result.reply = GrantReply::kNoResponse;
+  return result;
+}
+
+auto KeyCoordinator::SendRelease(const KeyOwner& owner, KeyRange keys,
+                                 FencingToken token, Duration timeout)
+    -> ReleaseReply {
+  ReleaseReply reply;
+  TryStep("release", [&] {
+    reply = this->grant_client.Release(owner, keys, token, ToMillis(timeout));
+  });
+  return reply;
+}
+
 auto KeyCoordinator::CallGrant(CallQueue& queue, KeyCommand command,
                                GrantScheduler& scheduler) -> bool {
   if (!scheduler.PermitGrant(command)) {
@@ -280,7 +304,7 @@
   // Any connection may be used for one grant at a time.
   if (!command.max_connection && queue.grants_in_flight != 0) return false;
   ++queue.grants_in_flight;
-  const auto result = this->grant_client.Grant(
+  const auto result = this->SendGrant(
       {command.owner, scheduler.Map().KeysOf(command.stripe), command.token,
        ToMillis(command.ttl), command.handover,
        ToMillis(this->timing.call_timeout), command.max_connection});
@@ -313,9 +337,9 @@
 
 auto KeyCoordinator::CallRelease(CallQueue& queue, const KeyCommand& command,
                                  GrantScheduler& scheduler) -> void {
-  const auto reply = this->grant_client.Release(
-      command.owner, scheduler.Map().KeysOf(command.stripe), command.token,
-      ToMillis(this->timing.release_timeout));
+  const auto reply =
+      this->SendRelease(command.owner, scheduler.Map().KeysOf(command.stripe),
+                        command.token, this->timing.release_timeout);
   if (reply.is_other_server) {
     this->OnOwnerReplaced(queue, command.owner, scheduler);
     scheduler.OnNotSent(command);
--- a/src/keys/key_coordinator.h
+++ b/src/keys/key_coordinator.h
@@ -121,6 +121,11 @@
   /// @return false if the call has to wait for a grant in flight.
   auto Call(CallQueue& queue, const KeyCommand& command,
             GrantScheduler& scheduler) -> bool;
+  /// Calls the server. A call that fails in an unforeseen way counts as one
+  /// without a response.
+  auto SendGrant(const GrantCall& call) -> GrantResult;
+  auto SendRelease(const KeyOwner& owner, KeyRange keys, FencingToken token,
+                   Duration timeout) -> ReleaseReply;
   /// @return false if the grant has to wait for another one in flight.
   auto CallGrant(CallQueue& queue, KeyCommand command,
                  GrantScheduler& scheduler) -> bool;
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -76,7 +76,7 @@
     const auto result = LoadRunner(scenario, runner_options).Run();
     PrintResult(result, std::cout);
     if (!out_path.empty()) {
-      std::ofstream(out_path) << ToJson(result).dump(1) << "\n";
+      std::ofstream(out_path) << ToReadableJsonText(ToJson(result)) << "\n";
     }
     return kExitOk;
   } catch (const options::error& error) {
--- a/src/operators/operator_handler.cc
+++ b/src/operators/operator_handler.cc
@@ -13,7 +13,7 @@
     -> HttpResponse {
   HttpResponse response{status, 11};
   response.set(http::field::content_type, "application/json");
-  response.body() = body.dump() + "\n";
+  response.body() = ToJsonText(body) + "\n";
   return response;
 }
 
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -38,7 +38,7 @@
     -> HttpResponse {
   HttpResponse response{status, 11};
   response.set(http::field::content_type, "application/json");
-  response.body() = body.dump();
+  response.body() = ToJsonText(body);
   return response;
 }
 
@@ -64,7 +64,7 @@
     -> std::vector<TableRow> {
   const nlohmann::json request_json = {{"prefix", prefix}};
   const auto response =
-      this->Call(http::verb::post, kReadPath, request_json.dump());
+      this->Call(http::verb::post, kReadPath, ToJsonText(request_json));
   if (response.result() != http::status::ok) {
     throw PlatformError("platform: table answered " +
                         std::to_string(response.result_int()));
@@ -85,7 +85,7 @@
                                        {"writes", transaction.writes}};
   try {
     const auto response =
-        this->Call(http::verb::post, kCommitPath, request_json.dump());
+        this->Call(http::verb::post, kCommitPath, ToJsonText(request_json));
     if (response.result() == http::status::ok) {
       return CommitOutcome::kCommitted;
     }
--- a/src/router/peer_exchange.cc
+++ b/src/router/peer_exchange.cc
@@ -87,7 +87,7 @@
 auto PeerExchange::RunReportLoop() -> void {
   this->AwaitCoordinator();
   while (true) {
-    this->Report();
+    TryStep("report", [this] { this->Report(); });
     SleepFor(kReportInterval);
   }
 }
@@ -189,7 +189,9 @@
 auto PeerExchange::RunReadLoop() -> void {
   this->AwaitFirstContact();
   while (true) {
-    if (this->owners.StartReadIfDue()) this->ReadOwners();
+    TryStep("read-owners", [this] {
+      if (this->owners.StartReadIfDue()) this->ReadOwners();
+    });
     SleepFor(kReadPollInterval);
   }
 }
--- a/src/router/request_forwarder.cc
+++ b/src/router/request_forwarder.cc
@@ -1,5 +1,7 @@
 #include "router/request_forwarder.h"
 
+#include <exception>
+
 #include "core/events.h"
 #include "router/forwarded_request.h"
 
@@ -17,7 +19,22 @@
 }
 
 auto RequestForwarder::Handle(HttpExchange& exchange) -> void {
-  ForwardedRequest(this->state, exchange).Run();
+  std::exception_ptr disconnected;
+  const bool has_ended = TryStep("request", [&] {
+    try {
+      ForwardedRequest(this->state, exchange).Run();
+    } catch (const RequestError&) {
+      disconnected = std::current_exception();
+    }
+  });
+  if (disconnected != nullptr) std::rethrow_exception(disconnected);
+  if (has_ended) return;
+  if (exchange.HasStarted()) {
+    exchange.Abort();
+  } else {
+    // It may have run at a server.
+    exchange.Send(HttpResponse{http::status::bad_gateway, 11});
+  }
 }
 
 auto RequestForwarder::OnBadInput(const std::string& what) -> void {
--- a/src/router/request_metrics.cc
+++ b/src/router/request_metrics.cc
@@ -38,8 +38,15 @@
   return "unknown";
 }
 
+/// @return the label with its value escaped; services and servers have names
+///   from other processes.
 auto Label(const std::string& name, const std::string& value) -> std::string {
-  return name + "=\"" + value + "\"";
+  std::string label = name + "=\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') label += '\\';
+    label += c == '\n' ? std::string("\\n") : std::string(1, c);
+  }
+  return label + "\"";
 }
 
 auto AppendCount(std::string& text, const std::string& name,
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -10,6 +10,8 @@
 namespace currantbeam {
 namespace {
 
+/// Until the next step of a follower, after one that failed unforeseen.
+constexpr auto kFailedStepPause = std::chrono::milliseconds(500);
 /// The resources that the KeyCoordinator of a large fleet uses. Hosts with less
 /// delay their bid for its lease by up to kMaxLeaseYield, so that hosts with
 /// more acquire it first.
@@ -176,7 +178,11 @@
   options.batch_delay = batching;
   this->loop.Spawn([this, options, &listener] {
     TableFollower follower(this->store, options, listener);
-    while (true) SleepFor(follower.Step());
+    while (true) {
+      Duration pause = kFailedStepPause;
+      TryStep("follow-" + options.table, [&] { pause = follower.Step(); });
+      SleepFor(pause);
+    }
   });
 }
 
@@ -207,11 +213,13 @@
     const auto due_at = this->clock.Now() + kPeriodicTaskInterval;
     SleepFor(kPeriodicTaskInterval);
     this->RecordLoopDelay(this->clock.Now() - due_at);
-    this->backends_listener.ApplyTimeouts();
-    this->state.quarantine.Expire(this->clock.Now());
-    FlushLog();
-    this->ApplyFleetSize();
-    if (run % kTaskRunsPerSettingsPoll == 0) this->PollSettings();
+    TryStep("periodic-tasks", [&, this] {
+      this->backends_listener.ApplyTimeouts();
+      this->state.quarantine.Expire(this->clock.Now());
+      FlushLog();
+      this->ApplyFleetSize();
+      if (run % kTaskRunsPerSettingsPoll == 0) this->PollSettings();
+    });
   }
 }
 
@@ -229,8 +237,10 @@
 
 auto RouterProcess::RunQuarantineStore() -> void {
   while (true) {
-    this->quarantine_store.LoadIfNeeded();
-    if (this->coordinator.IsActive()) this->quarantine_store.StoreIfChanged();
+    TryStep("quarantine-store", [this] {
+      this->quarantine_store.LoadIfNeeded();
+      if (this->coordinator.IsActive()) this->quarantine_store.StoreIfChanged();
+    });
     SleepFor(kQuarantineStoreInterval);
   }
 }
@@ -329,6 +339,9 @@
   AppendGauges(text, gauges);
   this->state.metrics.AppendTo(text);
   this->store.Delays().AppendTo(text);
+  text += "# TYPE currantbeam_fiber_failures_total counter\n";
+  text += "currantbeam_fiber_failures_total " + std::to_string(FailedSteps()) +
+          "\n";
   text += "# TYPE currantbeam_loop_delay_seconds histogram\n";
   this->loop_delays.AppendTo(text, "currantbeam_loop_delay_seconds", "");
 }
--- a/src/router/serving_check.cc
+++ b/src/router/serving_check.cc
@@ -65,7 +65,7 @@
   // In a fiber of its own, as the first request may have less time left than
   // the others.
   FiberLoop::Current().Spawn([this, process, call, target] {
-    this->RunCall(*target);
+    TryStep("ask-server", [&, this] { this->RunCall(*target); });
     call->is_done = true;
     call->has_ended.Notify();
     this->calls.erase(process);
--- a/src/runtime/fiber_loop.cc
+++ b/src/runtime/fiber_loop.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "runtime/await.h"
+#include "runtime/fiber_step.h"
 
 namespace currantbeam {
 namespace {
@@ -55,7 +56,7 @@
 auto Launch(std::function<void()> body) -> void {
   auto run = [body = std::move(body)] {
     try {
-      body();
+      TryStep("task", body);
     } catch (const LoopStopped&) {
       // The stack of the fiber has been unwound.
     }
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -7,4 +7,5 @@
 #include "runtime/await.h"
 #include "runtime/fiber_event.h"
 #include "runtime/fiber_loop.h"
+#include "runtime/fiber_step.h"
 #include "runtime/worker_pool.h"
--- a/src/servers/http_backend_client.cc
+++ b/src/servers/http_backend_client.cc
@@ -89,12 +89,11 @@
 }  // namespace
 
 auto EncodeGrant(const Grant& grant) -> std::string {
-  return nlohmann::json{{"token", grant.token},
-                        {"sequence", grant.sequence},
-                        {"server_run", grant.server_run},
-                        {"expires_at_us", grant.expires_at},
-                        {"slots", grant.slots}}
-      .dump();
+  return ToJsonText({{"token", grant.token},
+                     {"sequence", grant.sequence},
+                     {"server_run", grant.server_run},
+                     {"expires_at_us", grant.expires_at},
+                     {"slots", grant.slots}});
 }
 
 auto DecodeGrant(const std::string& text) -> Grant {
@@ -113,11 +112,10 @@
 }
 
 auto EncodeGrantAnswer(const GrantAnswer& answer) -> std::string {
-  return nlohmann::json{{"accepted", answer.accepted},
-                        {"server_run", answer.server_run},
-                        {"clock_us", answer.clock},
-                        {"token", answer.token}}
-      .dump();
+  return ToJsonText({{"accepted", answer.accepted},
+                     {"server_run", answer.server_run},
+                     {"clock_us", answer.clock},
+                     {"token", answer.token}});
 }
 
 auto DecodeGrantAnswer(const std::string& text) -> GrantAnswer {
--- a/src/standins/server/server_handler.cc
+++ b/src/standins/server/server_handler.cc
@@ -56,11 +56,10 @@
 
 auto ServerHandler::SendReport(HttpExchange& exchange) -> void {
   HttpResponse response{http::status::ok, 11};
-  response.body() = nlohmann::json{{"busy_us", this->busy_us},
-                                   {"ran", this->ran},
-                                   {"refused", this->refused},
-                                   {"runs_by_id", this->runs_by_id}}
-                        .dump();
+  response.body() = ToJsonText({{"busy_us", this->busy_us},
+                                {"ran", this->ran},
+                                {"refused", this->refused},
+                                {"runs_by_id", this->runs_by_id}});
   exchange.Send(std::move(response));
 }
 
--- a/src/standins/wire/wire_store.cc
+++ b/src/standins/wire/wire_store.cc
@@ -78,7 +78,7 @@
     -> HttpResponse {
   HttpResponse response{status, 11};
   response.set(http::field::content_type, "application/json");
-  response.body() = body.dump();
+  response.body() = ToJsonText(body);
   return response;
 }
 
--- a/src/store/call_joining_store.cc
+++ b/src/store/call_joining_store.cc
@@ -43,7 +43,8 @@
   this->calls[key] = call;
   try {
     call->batch = make_call();
-  } catch (const StoreError&) {
+  } catch (const std::exception&) {
+    // Those that joined the call would otherwise wait for good.
     call->error = std::current_exception();
   }
   // A later call may have taken the place of one that was late.
--- a/src/store/read_race.cc
+++ b/src/store/read_race.cc
@@ -24,7 +24,8 @@
     if (is_first()) state->batch = std::move(batch);
   } catch (const HistoryLost&) {
     if (is_first()) state->history_lost = std::current_exception();
-  } catch (const StoreError& error) {
+  } catch (const std::exception& error) {
+    // Whoever waits for the call would otherwise wait for good.
     if (state->error.empty()) state->error = error.what();
   }
   --state->in_flight;
--- a/tests/fiber_test.h
+++ b/tests/fiber_test.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <gtest/gtest.h>
+
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -10,18 +13,28 @@
 namespace currantbeam {
 
 /// Runs a test's body in a fiber of the loop, then stops the loop.
-inline auto RunInFiber(FiberLoop& loop, const std::function<void()>& body)
+/// @param expected_failures  how many steps of fibers throw; empty for any
+///   number.
+inline auto RunInFiber(FiberLoop& loop, const std::function<void()>& body,
+                       std::optional<std::uint64_t> expected_failures = 0)
     -> void {
+  const auto failures_before = FailedSteps();
   // A new thread, so that the test starts with an empty ConnectionPool, which
   // is thread-local.
   std::thread thread([&] {
     loop.Spawn([&] {
-      body();
+      try {
+        body();
+      } catch (const std::exception& error) {
+        ADD_FAILURE() << error.what();
+      }
       loop.Stop();
     });
     loop.Run();
   });
   thread.join();
+  const auto failures = FailedSteps() - failures_before;
+  EXPECT_EQ(failures, expected_failures.value_or(failures));
 }
 
 /// @return options of an HTTP server that listens on localhost.
--- a/tests/keys/owner_end_test.cc
+++ b/tests/keys/owner_end_test.cc
@@ -22,6 +22,7 @@
   explicit ListeningServers(const Clock& clock) : clock(clock) {}
 
   auto Grant(const GrantCall& call) -> GrantResult override {
+    if (this->throws) throw std::runtime_error("unforeseen");
     const auto status = this->Reach(call.owner, call.timeout);
     if (status == Status::kNotConnected) return {GrantReply::kConnectFailed};
     if (status == Status::kOther) return {GrantReply::kOtherServer};
@@ -36,6 +37,7 @@
   }
   auto Release(const KeyOwner& owner, KeyRange keys, FencingToken /*token*/,
                milliseconds timeout) -> ReleaseReply override {
+    if (this->throws) throw std::runtime_error("unforeseen");
     ReleaseReply reply;
     const auto status = this->Reach(owner, timeout);
     reply.has_connect_failed = status == Status::kNotConnected;
@@ -59,6 +61,7 @@
   std::map<std::uint16_t, ServerId> listening;  ///< By port.
   std::uint16_t cut_port = 0;
   bool has_two_holders = false;
+  bool throws = false;  ///< From each call.
 
  private:
   enum class Status { kReached, kNotConnected, kOther };
@@ -97,17 +100,21 @@
 class OwnerEndTest : public testing::Test {
  protected:
   /// Runs the body once the servers hold all keys.
-  auto Run(const std::function<void()>& body) -> void {
+  auto Run(const std::function<void()>& body,
+           std::optional<std::uint64_t> expected_failures = 0) -> void {
     FiberLoop loop(this->clock);
-    RunInFiber(loop, [&] {
-      for (int i = 0; i < kServers; ++i) this->Start(MakeOwner(i));
-      this->coordinator.SetServices({kService});
-      this->coordinator.Start();
-      SleepFor(seconds(10));
-      ASSERT_EQ(this->servers.HeldRanges(), kDefaultStripeCount);
-      body();
-      this->coordinator.Stop();
-    });
+    RunInFiber(
+        loop,
+        [&] {
+          for (int i = 0; i < kServers; ++i) this->Start(MakeOwner(i));
+          this->coordinator.SetServices({kService});
+          this->coordinator.Start();
+          SleepFor(seconds(10));
+          ASSERT_EQ(this->servers.HeldRanges(), kDefaultStripeCount);
+          body();
+          this->coordinator.Stop();
+        },
+        expected_failures);
   }
   /// Starts a process and registers it.
   auto Start(const KeyOwner& owner) -> void {
@@ -183,6 +190,23 @@
         EntryCase{"TheServerUnderAForeignService", "s0", "foreign", 5000}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// The process ended, and with it the requests of its callers.
+TEST_F(OwnerEndTest,
+       ACallThatFailsInAnUnforeseenWayCountsAsOneWithoutAResponse) {
+  const auto failures_before = FailedSteps();
+  this->Run(
+      [this] {
+        this->servers.throws = true;
+        SleepFor(seconds(2));
+        this->servers.throws = false;
+        SleepFor(seconds(30));
+        EXPECT_FALSE(this->servers.has_two_holders);
+        EXPECT_EQ(this->servers.HeldRanges(), kDefaultStripeCount);
+      },
+      std::nullopt);
+  EXPECT_GT(FailedSteps(), failures_before);
+}
+
 TEST_F(OwnerEndTest, KeysAreServedSoonAfterAnotherServerStartsAtTheAddress) {
   Duration longest{0};
   this->Run([this, &longest] {
--- a/tests/keys/replaced_owner_test.cc
+++ b/tests/keys/replaced_owner_test.cc
@@ -73,5 +73,29 @@
   EXPECT_EQ(this->PlannedStripesOf(owner), kStripes / 2);
 }
 
+// The keys would have stayed unserved until the coordinator changed.
+TEST_F(ReplacedOwnerTest, AHandoverThatAServerCannotReadIsSentOnce) {
+  this->clock.Advance(std::chrono::seconds(1));
+  this->scheduler.SetServers({this->servers.front()}, {});
+  for (const auto& command : this->scheduler.TakeDueCommands()) {
+    if (command.kind != KeyCommand::Kind::kRelease) continue;
+    ReleaseReply reply;
+    reply.is_released = true;
+    reply.handover = "spoiled";
+    this->scheduler.OnReleaseReply(command, reply);
+  }
+  this->CommitChange();
+  int sent = 0;
+  for (int round = 0; round < 3; ++round) {
+    this->clock.Advance(milliseconds(400));
+    for (const auto& command : this->scheduler.TakeDueCommands()) {
+      sent += command.handover.empty() ? 0 : 1;
+      EXPECT_TRUE(
+          ReplyToGrant(this->scheduler, command, GrantReply::kMalformed));
+    }
+  }
+  EXPECT_EQ(sent, kStripes / 2);
+}
+
 }  // namespace
 }  // namespace currantbeam
--- a/tests/platform_wire/grant_client_test.cc
+++ b/tests/platform_wire/grant_client_test.cc
@@ -206,6 +206,31 @@
   }
 }
 
+// The handover went into JSON as it came, and the exception ended the process.
+TEST(PlatformGrantClient, AHandoverThatJsonCannotCarryIsNone) {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"5c0e7a21", "5c0e7a21"}, {"\xc3\xa9", "\xc3\xa9"}, {"\xe9", ""},
+      {"5c\xff", ""},           {"\xc0\x80", ""},         {"", ""}};
+  for (const auto& [sent, kept] : cases) {
+    ScriptedServer server(TestPort(24),
+                          AnswerWith("200 OK\r\nX-Handover: " + sent + "\r\n"));
+    FiberLoop loop;
+    PlatformGrantClient client;
+    RunInFiber(loop, [&, sent = sent, kept = kept] {
+      server.Listen();
+      GrantCall call;
+      call.owner = {ServerId("a"), milliseconds(1), "127.0.0.1", TestPort(24)};
+      call.timeout = milliseconds(60'000);
+      const auto released =
+          client.Release(call.owner, {0, 31}, 1, call.timeout);
+      EXPECT_TRUE(released.is_released);
+      EXPECT_EQ(released.handover, kept);
+      call.handover = sent;
+      EXPECT_EQ(client.Grant(call).reply, GrantReply::kAccepted);
+    });
+  }
+}
+
 // A coordinator that kept all bytes would exceed its memory, and so would the
 // next one.
 TEST(PlatformGrantClient, AnEndlessResponseToAGrantIsNoResponse) {
--- a/tests/router/router_test.cc
+++ b/tests/router/router_test.cc
@@ -227,6 +227,20 @@
   EXPECT_EQ(handler.received, 0);
 }
 
+// The connection was closed without an answer.
+TEST(RequestForwarder, AnswersARequestThatFailsInAnUnforeseenWay) {
+  ForwardingHost host(std::chrono::seconds(5));
+  host.state.servers_status = []() -> TableStatus {
+    throw std::out_of_range("unforeseen");
+  };
+  RecordingExchange exchange;
+  RequestForwarder forwarder(host.state);
+  FiberLoop loop;
+  RunInFiber(
+      loop, [&] { forwarder.Handle(exchange); }, 1);
+  EXPECT_EQ(exchange.response.result(), http::status::bad_gateway);
+}
+
 TEST(ForwardedRequest, IsRefusedIfTheProcessStopsBeforeItsServerCanRespond) {
   ForwardingHost host(std::chrono::seconds(5));
   host.state.stop = StopSchedule(host.clock.Now(), std::chrono::seconds(6));
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -40,6 +40,13 @@
     return runs, leases, grants
 
 
+def check_fiber_failures(logs):
+    """The processes' logs hold no event of an exception that nothing caught."""
+    return [f"{log.name}: {line.strip()}" for log in logs
+            for line in log.read_text(encoding="utf-8", errors="replace").splitlines()
+            if '"fiber-failed"' in line]
+
+
 def check_responses(requests):
     return [f"{r.kind} request {r.id} to {r.service} at {r.router}: {r.problem}" for r in requests if r.problem]
 
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -18,6 +18,12 @@
 
 
 class ChecksTest(unittest.TestCase):
+    def test_exception_that_nothing_caught(self):
+        with tempfile.TemporaryDirectory() as folder:
+            log = pathlib.Path(folder) / "front-0.log"
+            log.write_text('{"event":919,"name":"server-asked"}\n{"event":920,"name":"fiber-failed"}\n')
+            self.assertEqual(len(checks.check_fiber_failures([log])), 1)
+
     def test_wrong_responses(self):
         wrong = request(1)
         wrong.problem = "a response to another request"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -262,6 +262,7 @@
             deployment.stop()
     runs, leases, grants = checks.read_server_logs(deployment)
     violations = unexpected_exits + [f"{name} did not stop within its grace period" for name in injector.late_stops]
+    violations += checks.check_fiber_failures(sorted(out.glob("*.log")))
     violations += checks.check_responses(requests)
     violations += checks.check_executions(requests + deadly_requests, runs)
     violations += checks.check_deadly_request(deadly_requests, runs, injector.router_outages, SHARING_TIME_S)
