--- a/tests/platform_wire/table_store_limits_test.cc
+++ b/tests/platform_wire/table_store_limits_test.cc
@@ -104,5 +104,28 @@
   EXPECT_EQ(pages, 2);
 }
 
+// The time went into an integer that can't hold it.
+TEST(TableStoreLimits, AMalformedPageIsAFailedRead) {
+  for (const std::string body :
+       {R"({"ver":1,"nowS":1e300,"rows":[]})", R"({"ver":1,"rows":[]})",
+        R"({"ver":"1","nowS":1,"rows":[]})", R"({"ver":1,"nowS":1,"rows":[7]})",
+        R"({"ver":1,"nowS":1,"rows":[{"key":7,"ver":1,"value":""}]})",
+        "{\"ver\":1,\"nowS\":1,\"rows\":[{\"key\":\"\xe9\",\"ver\":1}]}", "[]",
+        "\xe9", ""}) {
+    ScriptedServer server(TestPort(25), [&](auto& connection) {
+      while (connection.ReadRequest()) {
+        connection.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(body.size()) + "\r\n\r\n" + body);
+      }
+    });
+    FiberLoop loop;
+    RunInFiber(loop, [&] {
+      server.Listen();
+      TableStoreClient client({"127.0.0.1", TestPort(25)});
+      EXPECT_THROW(client.Read("op", ""), StoreError) << body;
+    });
+  }
+}
+
 }  // namespace
 }  // namespace currantbeam
