Let repeated work of the two-hop programs, and stops, go on after an exception

Since an exception that leaves a fiber no longer ends the process, work that repeats must not end silently either: the ticks of the gateway's control and of the placer run as steps, a connection that fails is counted off, and a stop whose draining fails still ends the loop. By reading; no such exception is known. request_path_test, platform_contract_test and router_test pass.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -135,14 +135,17 @@
   if (answer.has_value()) this->RenewGrants();
 }
 
+auto GatewayControl::Tick() -> void {
+  this->RenewGrants();
+  const auto now = this->state.GetClock().Now();
+  if (now < this->next_adjustment) return;
+  this->next_adjustment = now + ClassController::kInterval;
+  this->dispatcher.AdjustWeights();
+}
+
 auto GatewayControl::TickLoop() -> void {
   while (!this->stopped) {
-    this->RenewGrants();
-    const auto now = this->state.GetClock().Now();
-    if (now >= this->next_adjustment) {
-      this->next_adjustment = now + ClassController::kInterval;
-      this->dispatcher.AdjustWeights();
-    }
+    TryStep("control", [this] { this->Tick(); });
     SleepFor(kTickInterval);
   }
 }
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -30,6 +30,7 @@
   auto OnMessage(const nlohmann::json& message)
       -> std::optional<nlohmann::json>;
   auto TickLoop() -> void;
+  auto Tick() -> void;
   auto RenewGrants() -> void;
   auto SendGrant(const GrantAttempt& attempt) -> void;
   auto RefreshView() -> void;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -61,7 +61,7 @@
 
  private:
   auto Drain() -> void {
-    this->shutdown.Run();
+    TryStep("stop", [this] { this->shutdown.Run(); });
     this->stopped = true;
     this->control.Stop();
     this->control_loop.Stop();
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -63,7 +63,7 @@
     ++this->connections;
     auto shared_socket = std::make_shared<TcpSocket>(std::move(socket));
     FiberLoop::Current().Spawn([this, shared_socket] {
-      this->Serve(std::move(*shared_socket));
+      TryStep("connection", [&] { this->Serve(std::move(*shared_socket)); });
       --this->connections;
     });
   }
--- a/src/placer/main.cc
+++ b/src/placer/main.cc
@@ -39,9 +39,11 @@
 
   auto Stop() -> void {
     Log(events::kProcessDraining);
-    this->operator_server.StopAccepting();
-    this->operator_server.Drain(kDrainTimeout);
-    this->process.Stop();
+    TryStep("stop", [this] {
+      this->operator_server.StopAccepting();
+      this->operator_server.Drain(kDrainTimeout);
+      this->process.Stop();
+    });
     this->loop.Stop();
   }
 
--- a/src/placer/placer_process.cc
+++ b/src/placer/placer_process.cc
@@ -235,8 +235,10 @@
 
 auto PlacerProcess::TickLoop() -> void {
   while (!this->stopped) {
-    this->Advance();
-    this->SendDocuments();
+    TryStep("placer", [this] {
+      this->Advance();
+      this->SendDocuments();
+    });
     SleepFor(kTickInterval);
   }
 }
@@ -302,33 +304,41 @@
   this->placer.SetHosts(this->hosts);
 }
 
+auto PlacerProcess::PollPlatform() -> void {
+  try {
+    this->PollHosts();
+    this->RefreshConfiguration();
+    this->SetPlatformReachable(true);
+  } catch (const PlatformError&) {
+    this->SetPlatformReachable(false);
+    this->ApplyConfigDocument();
+  }
+}
+
 auto PlacerProcess::PollLoop() -> void {
   while (!this->stopped) {
-    try {
-      this->PollHosts();
-      this->RefreshConfiguration();
-      this->SetPlatformReachable(true);
-    } catch (const PlatformError&) {
-      this->SetPlatformReachable(false);
-      this->ApplyConfigDocument();
-    }
+    TryStep("poll-platform", [this] { this->PollPlatform(); });
     SleepFor(kPollInterval);
   }
 }
 
+auto PlacerProcess::Acknowledge() -> void {
+  const auto in_force = this->placer.ConfigVersionInForce();
+  if (in_force <= this->acknowledged || !this->platform_reachable) return;
+  try {
+    if (this->config_store.Acknowledge(this->settings.domain, in_force)) {
+      this->acknowledged = in_force;
+      Log(events::kConfigInForce, {{"version", in_force}});
+    }
+  } catch (const PlatformError&) {
+    this->SetPlatformReachable(false);
+  }
+}
+
 auto PlacerProcess::AcknowledgeLoop() -> void {
   while (!this->stopped) {
     SleepFor(kAckInterval);
-    const auto in_force = this->placer.ConfigVersionInForce();
-    if (in_force <= this->acknowledged || !this->platform_reachable) continue;
-    try {
-      if (this->config_store.Acknowledge(this->settings.domain, in_force)) {
-        this->acknowledged = in_force;
-        Log(events::kConfigInForce, {{"version", in_force}});
-      }
-    } catch (const PlatformError&) {
-      this->SetPlatformReachable(false);
-    }
+    TryStep("acknowledge", [this] { this->Acknowledge(); });
   }
 }
 
@@ -336,8 +346,10 @@
   while (!this->stopped) {
     SleepFor(kFlushInterval);
     if (!this->placer.IsReady()) continue;
-    const auto rows = this->account_store.Flush();
-    if (rows != 0) Log(events::kAccountFlushed, {{"rows", rows}});
+    TryStep("flush-accounts", [this] {
+      const auto rows = this->account_store.Flush();
+      if (rows != 0) Log(events::kAccountFlushed, {{"rows", rows}});
+    });
   }
 }
 
--- a/src/placer/placer_process.h
+++ b/src/placer/placer_process.h
@@ -77,6 +77,7 @@
   /// Periodically, every kPollInterval, reads the host list and the
   /// configuration from the platform.
   auto PollLoop() -> void;
+  auto PollPlatform() -> void;
   auto PollHosts() -> void;
   auto SetConfiguration(const Configuration& configuration) -> void;
   /// Applies a newer configuration received from another placer, so that it
@@ -85,6 +86,7 @@
   /// Periodically, every kAckInterval, stores the configuration version that
   /// the domain has in force.
   auto AcknowledgeLoop() -> void;
+  auto Acknowledge() -> void;
   /// Periodically, every kFlushInterval, writes changed accounts while active.
   auto FlushLoop() -> void;
   auto SetPlatformReachable(bool reachable) -> void;
--- a/src/router/router_process.cc
+++ b/src/router/router_process.cc
@@ -288,11 +288,16 @@
 
 auto RouterProcess::Drain() -> void {
   if (this->draining) return;
+  this->draining = true;
+  TryStep("drain", [this] { this->DrainRequests(); });
+  this->loop.Stop();
+}
+
+auto RouterProcess::DrainRequests() -> void {
   const auto grace = this->settings.stop_grace;
   Log(events::kProcessDraining, {{"limit_ms", grace.count()}});
   this->state.stop = StopSchedule(this->clock.Now(), grace);
   const auto& stop = this->state.stop;
-  this->draining = true;
   this->caller_server.CloseAfterResponses();
   // In a fiber of its own, as the store may respond slowly.
   this->loop.Spawn([this] { this->coordinator.Stop(); });
@@ -310,7 +315,6 @@
         {{"in_hand", in_flight}, {"unread", in_flight - active}});
     this->state.active_requests.LogCut();
   }
-  this->loop.Stop();
 }
 
 auto RouterProcess::DrainUntil(TimePoint time) -> std::size_t {
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -76,6 +76,7 @@
   /// Ends the process in order, by a StopSchedule: stops accepting, completes
   /// the requests in flight, responds to those that remain, and stops the loop.
   auto Drain() -> void;
+  auto DrainRequests() -> void;
   /// Waits until no request is in flight.
   /// @return the number of requests still in flight at that time.
   auto DrainUntil(TimePoint time) -> std::size_t;
