--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -55,6 +55,7 @@
   }
   this->held.erase(entry.id);
   this->expired.erase(entry.id);
+  if (this->targets.count(entry.id) == 0) return;
   this->RemoveTarget(entry.id);
   this->Rebuild();
 }
--- a/src/keys/key_coordinator.cc
+++ b/src/keys/key_coordinator.cc
@@ -109,8 +109,8 @@
 auto KeyCoordinator::RunCommands() -> void {
   while (!this->stopped) {
     if (this->lease.IsHeld()) {
-      for (auto& [name, keyed] : this->services) {
-        auto& service = keyed;
+      for (auto& named : this->services) {
+        auto& service = named.second;
         if (!service.is_keyed) continue;
         TryStep("keeper-commands",
                 [&, this] { this->SendCommands(service.coordinator); });
@@ -122,8 +122,8 @@
 
 auto KeyCoordinator::RunCommits() -> void {
   while (!this->stopped) {
-    for (auto& [name, keyed] : this->services) {
-      auto& service = keyed;
+    for (auto& named : this->services) {
+      auto& service = named.second;
       if (!service.is_keyed) continue;
       TryStep("keeper-commits",
               [&, this] { this->Commit(service.coordinator); });
